Set down the shape: micro-kernel, life-cycle manager, core types

Cause: everything later grows inside one shape, so it comes first. Change: a kernel whose services find each other by name, a life-cycle manager that owns tasks and clean-up, the domain model as enums and tagged unions, and lint rules for function verbs and import direction. Measured: 6 kernel tests pass (missing need, cycle, undeclared look-up, bounded stop, failed task).

--- /dev/null
+++ b/src/constants.ts
@@ -0,0 +1,71 @@
+/** Constants of the whole project; each name carries its unit. */
+
+/** Prefix of the environment variables that carry settings. */
+export const ENVIRONMENT_PREFIX = "RHUBARBWALL";
+/** Version of the records that this build writes to the log. */
+export const RECORD_VERSION = 1;
+/** Path prefix of the endpoints that the daemon itself answers. */
+export const OWN_PATH_PREFIX = "/rhubarbwall/v1";
+
+/** Time after which a configuration that nobody confirmed is stale. */
+export const FRESHNESS_BOUND_MS = 3_000;
+/** Longest time that one read of the log waits for a new entry. */
+export const LOG_POLL_WAIT_MS = 1_000;
+/** Time after which a read of or an append to the log is given up. */
+export const LOG_TIMEOUT_MS = 2_500;
+/** First delay before a failed read of the log is tried again. */
+export const LOG_RETRY_MIN_MS = 100;
+/** Longest delay before a failed read of the log is tried again. */
+export const LOG_RETRY_MAX_MS = 1_000;
+/** Most entries taken from the log by one read. */
+export const LOG_READ_LIMIT_ENTRIES = 1_000;
+/** Record ids kept to recognize a record that was appended twice. */
+export const APPLIED_IDS_KEPT = 100_000;
+
+/** Time between two heartbeats to the same peer. */
+export const HEARTBEAT_INTERVAL_MS = 1_000;
+/** Time without a heartbeat after which a peer counts as unreachable. */
+export const PEER_TIMEOUT_MS = 3_000;
+/** Delay before a peer that could not be reached is dialled again. */
+export const PEER_RETRY_MS = 500;
+/** Time between two reads of the platform's VM list. */
+export const VM_LIST_INTERVAL_MS = 2_000;
+/** Entries kept in memory to pass on to peers that cannot read the log. */
+export const RELAY_ENTRIES_KEPT = 4_096;
+/** Most entries in one message to a peer. */
+export const RELAY_BATCH_ENTRIES = 256;
+
+/** Largest header block that a caller may send. */
+export const CALLER_HEADER_LIMIT_BYTES = 16_384;
+/** Time a caller's connection may stay idle between two requests. */
+export const CALLER_IDLE_TIMEOUT_MS = 30_000;
+/** Largest request body that is kept so that it can be sent again. */
+export const REPEATABLE_BODY_LIMIT_BYTES = 65_536;
+/** Largest answer that is held until it is whole. */
+export const HELD_ANSWER_LIMIT_BYTES = 262_144;
+/** Time after which connecting to a backend server is given up. */
+export const CONNECT_TIMEOUT_MS = 1_000;
+/** Time an unused connection to a backend server is kept open. */
+export const UPSTREAM_IDLE_MS = 4_000;
+/** Most connections of one VM to one backend server. */
+export const CONNECTIONS_PER_SERVER = 8;
+
+/** Time that a caller may keep an address answer. */
+export const ADDRESS_TTL_MS = 5_000;
+/** Most addresses in one answer. */
+export const ADDRESS_ANSWER_LIMIT = 4;
+/** Time between the end of the address TTL and the close of the listener. */
+export const DRAIN_MARGIN_MS = 500;
+/** Longest time that a whole planned stop may take. */
+export const STOP_DEADLINE_MS = 60_000;
+/** A jump of the monotonic clock that means the process was paused. */
+export const PAUSE_THRESHOLD_MS = 1_500;
+
+/** Share of successful attempts that may be spent on retries. */
+export const RETRY_BUDGET_RATIO = 0.1;
+/** Retries that an idle service or team may spend at once. */
+export const RETRY_BUDGET_BURST = 5;
+/** Most attempts for one request. */
+export const ATTEMPTS_PER_REQUEST = 3;
+/** Most requests of one team that wait for one service on one VM. */
+export const QUEUE_LIMIT_PER_TEAM = 256;
--- /dev/null
+++ b/src/kernel/kernel.ts
@@ -0,0 +1,138 @@
+/** Micro-kernel: a registry of services that find each other by name. */
+import { KernelError, KernelErrorKind } from "./kernel_error.ts";
+import { LifeCycle, Scope } from "./life_cycle.ts";
+import type { LifeCycleObserver } from "./life_cycle.ts";
+
+/** Looks up a service that the caller's definition needs. */
+export type Finder<Services> = <Name extends keyof Services>(
+  name: Name,
+) => Services[Name];
+
+/** Describes how one service is made and what it needs. */
+export interface ServiceDefinition<
+  Services,
+  Name extends keyof Services = keyof Services,
+> {
+  /** The name that other services look it up by. */
+  readonly name: Name;
+  /** The services that start before this one and stop after it. */
+  readonly needs: readonly (keyof Services)[];
+  /** Creates the service; `find` answers only for names in `needs`. */
+  readonly create: (find: Finder<Services>, scope: Scope) => Services[Name];
+}
+
+/** Fixes the services' type, so that each definition is checked against it. */
+export function createDefinition<Services, Name extends keyof Services>(
+  definition: ServiceDefinition<Services, Name>,
+): ServiceDefinition<Services, Name> {
+  return definition;
+}
+
+/** Holds the services of one process. */
+export class Kernel<Services> {
+  readonly #definitions = new Map<
+    keyof Services,
+    ServiceDefinition<Services>
+  >();
+  readonly #services = new Map<keyof Services, Services[keyof Services]>();
+  readonly #observer: LifeCycleObserver;
+  readonly #lifeCycle: LifeCycle;
+
+  /** Creates a kernel without services; failures go to `observer`. */
+  constructor(observer: LifeCycleObserver) {
+    this.#observer = observer;
+    this.#lifeCycle = new LifeCycle(observer);
+  }
+
+  /** Adds a definition; a later one of the same name takes its place. */
+  add<Name extends keyof Services>(
+    definition: ServiceDefinition<Services, Name>,
+  ): void {
+    this.#definitions.set(
+      definition.name,
+      definition as unknown as ServiceDefinition<Services>,
+    );
+  }
+
+  /**
+   * Creates and starts every service, those needed first.
+   *
+   * Throws {@linkcode KernelError} for a missing or cyclic need before any
+   * service has started.
+   */
+  async start(): Promise<void> {
+    for (const definition of this.#resolveOrder()) {
+      const scope = new Scope(String(definition.name), this.#observer);
+      const service = definition.create(this.#createFinder(definition), scope);
+      this.#services.set(definition.name, service);
+      await this.#lifeCycle.start(scope);
+    }
+  }
+
+  /** Stops the services in reverse order; false when `deadline` came first. */
+  stop(deadline: Promise<unknown>): Promise<boolean> {
+    return this.#lifeCycle.stop(deadline);
+  }
+
+  /** Finds a started service; throws {@linkcode KernelError} if there is none. */
+  find<Name extends keyof Services>(name: Name): Services[Name] {
+    const service = this.#services.get(name);
+    if (service === undefined) {
+      throw new KernelError({
+        kind: KernelErrorKind.ServiceMissing,
+        name: String(name),
+        neededBy: "caller",
+      });
+    }
+    return service as Services[Name];
+  }
+
+  #createFinder(
+    definition: ServiceDefinition<Services>,
+  ): Finder<Services> {
+    return (name) => {
+      if (definition.needs.includes(name)) return this.find(name);
+      throw new KernelError({
+        kind: KernelErrorKind.NeedUndeclared,
+        name: String(name),
+        neededBy: String(definition.name),
+      });
+    };
+  }
+
+  #resolveOrder(): ServiceDefinition<Services>[] {
+    const ordered = new Set<ServiceDefinition<Services>>();
+    for (const definition of this.#definitions.values()) {
+      this.#addInOrder(definition, ordered, []);
+    }
+    return [...ordered];
+  }
+
+  #addInOrder(
+    definition: ServiceDefinition<Services>,
+    ordered: Set<ServiceDefinition<Services>>,
+    path: readonly string[],
+  ): void {
+    if (ordered.has(definition)) return;
+    const name = String(definition.name);
+    const extended = [...path, name];
+    if (path.includes(name)) {
+      throw new KernelError({
+        kind: KernelErrorKind.NeedsCyclic,
+        path: extended,
+      });
+    }
+    for (const need of definition.needs) {
+      const needed = this.#definitions.get(need);
+      if (needed === undefined) {
+        throw new KernelError({
+          kind: KernelErrorKind.ServiceMissing,
+          name: String(need),
+          neededBy: name,
+        });
+      }
+      this.#addInOrder(needed, ordered, extended);
+    }
+    ordered.add(definition);
+  }
+}
--- /dev/null
+++ b/src/kernel/kernel_error.ts
@@ -0,0 +1,48 @@
+/** Errors of the registry of services. */
+
+/** What went wrong in the registry. */
+export enum KernelErrorKind {
+  ServiceMissing = "service_missing",
+  NeedUndeclared = "need_undeclared",
+  NeedsCyclic = "needs_cyclic",
+}
+
+/** A fault in how services are wired. */
+export type KernelFault =
+  | {
+    readonly kind: KernelErrorKind.ServiceMissing;
+    readonly name: string;
+    readonly neededBy: string;
+  }
+  | {
+    readonly kind: KernelErrorKind.NeedUndeclared;
+    readonly name: string;
+    readonly neededBy: string;
+  }
+  | {
+    readonly kind: KernelErrorKind.NeedsCyclic;
+    readonly path: readonly string[];
+  };
+
+function formatFault(fault: KernelFault): string {
+  switch (fault.kind) {
+    case KernelErrorKind.ServiceMissing:
+      return `service ${fault.name}, needed by ${fault.neededBy}, is missing`;
+    case KernelErrorKind.NeedUndeclared:
+      return `${fault.neededBy} looked up ${fault.name} without declaring it`;
+    case KernelErrorKind.NeedsCyclic:
+      return `services need each other in a cycle: ${fault.path.join(" -> ")}`;
+  }
+}
+
+/** Thrown by the kernel; `fault` says what is wired wrongly. */
+export class KernelError extends Error {
+  readonly fault: KernelFault;
+
+  /** Creates an error whose message describes `fault`. */
+  constructor(fault: KernelFault) {
+    super(formatFault(fault));
+    this.name = "KernelError";
+    this.fault = fault;
+  }
+}
--- /dev/null
+++ b/src/kernel/kernel_test.ts
@@ -0,0 +1,118 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  createDefinition,
+  Kernel,
+  KernelError,
+  KernelErrorKind,
+} from "./mod.ts";
+import type { ServiceDefinition } from "./mod.ts";
+
+interface Names {
+  first: string;
+  second: string;
+}
+
+function createNamed(
+  name: keyof Names,
+  needs: readonly (keyof Names)[],
+  events: string[] = [],
+): ServiceDefinition<Names, keyof Names> {
+  return createDefinition<Names, keyof Names>({
+    name,
+    needs,
+    create: (find, scope) => {
+      scope.addStart(() => void events.push(`start ${name}`));
+      scope.addStop(() => void events.push(`stop ${name}`));
+      return needs.map((need) => find(need)).join() + name;
+    },
+  });
+}
+
+function createKernel(failures: unknown[] = []): Kernel<Names> {
+  return new Kernel<Names>({
+    recordFailure: (_owner, cause) => void failures.push(cause),
+  });
+}
+
+const never = new Promise<void>(() => {});
+
+test("services start after what they need and stop before it", async () => {
+  const events: string[] = [];
+  const kernel = createKernel();
+  kernel.add(createNamed("second", ["first"], events));
+  kernel.add(createNamed("first", [], events));
+  await kernel.start();
+  assert.equal(kernel.find("second"), "firstsecond");
+  assert.equal(await kernel.stop(never), true);
+  assert.deepEqual(events, [
+    "start first",
+    "start second",
+    "stop second",
+    "stop first",
+  ]);
+});
+
+test("a missing need is named with the service that needs it", async () => {
+  const kernel = createKernel();
+  kernel.add(createNamed("second", ["first"]));
+  await assert.rejects(
+    kernel.start(),
+    (error: KernelError) =>
+      error.fault.kind === KernelErrorKind.ServiceMissing &&
+      error.message.includes("first, needed by second"),
+  );
+});
+
+test("a cycle of needs is named whole", async () => {
+  const kernel = createKernel();
+  kernel.add(createNamed("first", ["second"]));
+  kernel.add(createNamed("second", ["first"]));
+  await assert.rejects(kernel.start(), /first -> second -> first/);
+});
+
+test("an undeclared look-up is refused", async () => {
+  const kernel = createKernel();
+  kernel.add(createNamed("first", []));
+  kernel.add({ name: "second", needs: [], create: (find) => find("first") });
+  await assert.rejects(kernel.start(), /without declaring it/);
+});
+
+test("a stop past its deadline is reported and abandoned", async () => {
+  const failures: unknown[] = [];
+  const kernel = createKernel(failures);
+  kernel.add({
+    name: "first",
+    needs: [],
+    create: (_find, scope) => {
+      scope.addStop(() => never);
+      return "first";
+    },
+  });
+  await kernel.start();
+  assert.equal(await kernel.stop(Promise.resolve()), false);
+  assert.equal(failures.length, 1);
+});
+
+test("a failed task is reported, a stopped one is not", async () => {
+  const failures: unknown[] = [];
+  const kernel = createKernel(failures);
+  kernel.add({
+    name: "first",
+    needs: [],
+    create: (_find, scope) => {
+      scope.addStart(() => {
+        scope.runTask(() => Promise.reject(new Error("broken")));
+        scope.runTask((signal) =>
+          new Promise((_resolve, reject) => {
+            signal.addEventListener("abort", () => reject(signal.reason));
+          })
+        );
+      });
+      return "first";
+    },
+  });
+  await kernel.start();
+  assert.equal(await kernel.stop(never), true);
+  assert.equal(failures.length, 1);
+});
--- /dev/null
+++ b/src/kernel/mod.ts
@@ -0,0 +1,6 @@
+/** The micro-kernel: service registry and life-cycle manager. */
+export { createDefinition, Kernel } from "./kernel.ts";
+export type { Finder, ServiceDefinition } from "./kernel.ts";
+export { KernelError, KernelErrorKind } from "./kernel_error.ts";
+export { LifeCycle, Scope } from "./life_cycle.ts";
+export type { LifeCycleObserver, Task } from "./life_cycle.ts";
--- /dev/null
+++ b/src/model/configuration.ts
@@ -0,0 +1,110 @@
+/** What operators configure, as it stands at one offset of the log. */
+import type {
+  CellId,
+  KeyDigest,
+  Revision,
+  RouteId,
+  ServerId,
+  ServiceId,
+  TeamId,
+} from "./ids.ts";
+
+/** Names of the presets; exactly one is in force at any offset. */
+export enum PresetName {
+  Ordinary = "ordinary",
+  Peak = "peak",
+  Maintenance = "maintenance",
+}
+
+/** Who may use a route. */
+export enum RouteAccess {
+  Open = "open",
+  TeamBound = "team_bound",
+}
+
+/** Whether a request may be sent a second time. */
+export enum Idempotency {
+  Idempotent = "idempotent",
+  NonIdempotent = "non_idempotent",
+}
+
+/** Whether a backend server may get new work. */
+export enum ServerPhase {
+  Active = "active",
+  Draining = "draining",
+}
+
+/** Whether a key opens anything. */
+export enum KeyPhase {
+  Issued = "issued",
+  Withdrawn = "withdrawn",
+}
+
+/** A team and its share. */
+export interface Team {
+  readonly id: TeamId;
+  /** The cell whose VMs serve the team. */
+  readonly cell: CellId;
+  /** Sustained requests a second over all VMs together. */
+  readonly ratePerSecond: number;
+  /** Requests that may be admitted at once over all VMs together. */
+  readonly burst: number;
+  readonly revision: Revision;
+}
+
+/** A key, known by its digest alone. */
+export interface Key {
+  readonly digest: KeyDigest;
+  readonly team: TeamId;
+  readonly phase: KeyPhase;
+  readonly revision: Revision;
+}
+
+/** A group of backend servers that answer the same requests. */
+export interface Service {
+  readonly id: ServiceId;
+  readonly revision: Revision;
+}
+
+/** A backend server. */
+export interface Server {
+  readonly id: ServerId;
+  readonly service: ServiceId;
+  readonly host: string;
+  /** TCP port, 1 to 65535. */
+  readonly port: number;
+  readonly failureDomain: string;
+  /** Requests that it runs at the same time. */
+  readonly slots: number;
+  readonly phase: ServerPhase;
+  readonly revision: Revision;
+}
+
+/** Sends requests that match a method and a path prefix to a service. */
+export interface Route {
+  readonly id: RouteId;
+  /** An HTTP method in capitals, or `*` for any. */
+  readonly method: string;
+  /** Matches this path and all paths below it. */
+  readonly path: string;
+  readonly service: ServiceId;
+  readonly access: RouteAccess;
+  readonly idempotency: Idempotency;
+  /** Time from the request's arrival to the end of its answer. */
+  readonly deadlineMs: number;
+  /** Share of the service's slots, 0 to 1, that ejection must leave. */
+  readonly floor: number;
+  readonly revision: Revision;
+}
+
+/** Limits and policies that come into force together. */
+export interface Preset {
+  readonly name: PresetName;
+  /** Multiplies the rate and burst of every team; 1 leaves them. */
+  readonly rateFactor: number;
+  /** Multiplies the deadline of every route; 1 leaves it. */
+  readonly deadlineFactor: number;
+  /** Whether requests may be retried at all. */
+  readonly retries: boolean;
+  readonly revision: Revision;
+}
--- /dev/null
+++ b/src/model/records.ts
@@ -0,0 +1,161 @@
+/** Records of the log: a tagged union over what an operator can change. */
+import type {
+  Key,
+  Preset,
+  PresetName,
+  Route,
+  Server,
+  Service,
+  Team,
+} from "./configuration.ts";
+import type {
+  CellId,
+  KeyDigest,
+  Offset,
+  RecordId,
+  Revision,
+  RouteId,
+  ServerId,
+  TeamId,
+} from "./ids.ts";
+
+/** What a record does. */
+export enum RecordKind {
+  TeamSet = "team_set",
+  TeamRemove = "team_remove",
+  KeyIssue = "key_issue",
+  KeyWithdraw = "key_withdraw",
+  ServiceSet = "service_set",
+  ServerSet = "server_set",
+  ServerRemove = "server_remove",
+  RouteSet = "route_set",
+  RouteRemove = "route_remove",
+  PresetSet = "preset_set",
+  PresetSwitch = "preset_switch",
+  SnapshotChunk = "snapshot_chunk",
+}
+
+/** An object without the revision, which the log gives it. */
+export type Unrevised<T extends { revision: Revision }> = Omit<T, "revision">;
+
+/** The change that a record makes. */
+export type Change =
+  | { readonly kind: RecordKind.TeamSet; readonly team: Unrevised<Team> }
+  | { readonly kind: RecordKind.TeamRemove; readonly team: TeamId }
+  | {
+    readonly kind: RecordKind.KeyIssue;
+    readonly digest: KeyDigest;
+    readonly team: TeamId;
+  }
+  | { readonly kind: RecordKind.KeyWithdraw; readonly digest: KeyDigest }
+  | {
+    readonly kind: RecordKind.ServiceSet;
+    readonly service: Unrevised<Service>;
+  }
+  | { readonly kind: RecordKind.ServerSet; readonly server: Unrevised<Server> }
+  | { readonly kind: RecordKind.ServerRemove; readonly server: ServerId }
+  | { readonly kind: RecordKind.RouteSet; readonly route: Unrevised<Route> }
+  | { readonly kind: RecordKind.RouteRemove; readonly route: RouteId }
+  | { readonly kind: RecordKind.PresetSet; readonly preset: Unrevised<Preset> }
+  | { readonly kind: RecordKind.PresetSwitch; readonly preset: PresetName }
+  | {
+    readonly kind: RecordKind.SnapshotChunk;
+    readonly chunk: SnapshotChunk;
+  };
+
+/** One part of a snapshot; the snapshot is whole when all parts are read. */
+export interface SnapshotChunk {
+  readonly snapshot: string;
+  readonly scope: SnapshotScope;
+  /** The snapshot holds the effect of all entries up to this offset. */
+  readonly offset: Offset;
+  /** Index of this part, from 0. */
+  readonly index: number;
+  /** Number of parts. */
+  readonly total: number;
+  readonly items: readonly SnapshotItem[];
+}
+
+/** What part of the configuration a snapshot holds. */
+export enum SnapshotScopeKind {
+  /** Services, servers, routes and presets. */
+  Fleet = "fleet",
+  /** The teams and keys of one cell. */
+  Cell = "cell",
+}
+
+/** Which objects a snapshot holds. */
+export type SnapshotScope =
+  | { readonly kind: SnapshotScopeKind.Fleet }
+  | { readonly kind: SnapshotScopeKind.Cell; readonly cell: CellId };
+
+/** The kind of an object in a snapshot. */
+export enum SnapshotItemKind {
+  Team = "team",
+  Key = "key",
+  Service = "service",
+  Server = "server",
+  Route = "route",
+  Preset = "preset",
+  PresetInForce = "preset_in_force",
+  AppliedId = "applied_id",
+}
+
+/** One object in a snapshot. */
+export type SnapshotItem =
+  | { readonly kind: SnapshotItemKind.Team; readonly team: Team }
+  | { readonly kind: SnapshotItemKind.Key; readonly key: Key }
+  | { readonly kind: SnapshotItemKind.Service; readonly service: Service }
+  | { readonly kind: SnapshotItemKind.Server; readonly server: Server }
+  | { readonly kind: SnapshotItemKind.Route; readonly route: Route }
+  | { readonly kind: SnapshotItemKind.Preset; readonly preset: Preset }
+  | {
+    readonly kind: SnapshotItemKind.PresetInForce;
+    readonly preset: PresetName;
+    readonly revision: Revision;
+  }
+  | { readonly kind: SnapshotItemKind.AppliedId; readonly id: RecordId };
+
+/** A record as its author wrote it. */
+export interface ConfigurationRecord {
+  /** Version of the record's form. */
+  readonly version: number;
+  readonly id: RecordId;
+  /** Revision that the changed object must have for the record to apply. */
+  readonly base: Revision;
+  readonly change: Change;
+}
+
+/** Whether an entry could be decoded. */
+export enum EntryKind {
+  Record = "record",
+  Malformed = "malformed",
+}
+
+/** An entry of the log, as read back. */
+export type LogEntry =
+  | {
+    readonly kind: EntryKind.Record;
+    readonly offset: Offset;
+    readonly record: ConfigurationRecord;
+  }
+  | {
+    readonly kind: EntryKind.Malformed;
+    readonly offset: Offset;
+    readonly reason: string;
+  };
+
+/** How the log order settled a record. */
+export enum VerdictKind {
+  Accepted = "accepted",
+  Conflict = "conflict",
+  Duplicate = "duplicate",
+  Skipped = "skipped",
+}
+
+/** The same on every VM, since it follows from the log alone. */
+export type Verdict =
+  | { readonly kind: VerdictKind.Accepted; readonly revision: Revision }
+  | { readonly kind: VerdictKind.Conflict; readonly current: Revision }
+  | { readonly kind: VerdictKind.Duplicate }
+  | { readonly kind: VerdictKind.Skipped; readonly reason: string };
--- /dev/null
+++ b/tools/lint_plugin.ts
@@ -0,0 +1,118 @@
+/**
+ * Lint rules of this project: function names begin with a listed verb, and
+ * imports point only in the direction that docs/DESIGN.md gives.
+ */
+import { VERBS } from "./verbs.ts";
+
+/** Names that a library's interface dictates. */
+const DICTATED_NAMES = new Set([
+  "constructor",
+  "enqueue",
+  "dequeue",
+  "filter",
+  "next",
+  "return",
+  "throw",
+  "main",
+]);
+
+/** Folders under src/ that each folder may import from, itself aside. */
+const ALLOWED_IMPORTS: Record<string, readonly string[]> = {
+  kernel: ["model"],
+  model: [],
+  settings: ["model"],
+  services: ["kernel", "model", "settings"],
+  protocols: ["model", "services"],
+  daemon: ["kernel", "model", "settings", "services", "protocols"],
+  ctl: ["model", "settings", "protocols", "services"],
+};
+
+/** Packages that encode or carry messages; decisions never import them. */
+const ENCODING_PACKAGES = new Set([
+  "ws",
+  "msgpackr",
+  "node:http",
+  "node:net",
+  "zod",
+]);
+
+/** Folders in which an encoding package may be imported. */
+const ENCODING_FOLDERS = new Set(["protocols", "settings", "daemon", "ctl"]);
+
+function findSourceFolder(filename: string): string | undefined {
+  return /\/src\/([^/]+)\//.exec(filename)?.[1];
+}
+
+function hasListedVerb(name: string): boolean {
+  const first = /^[a-z]+/.exec(name)?.[0];
+  return first !== undefined && VERBS.includes(first);
+}
+
+function checkName(
+  context: Deno.lint.RuleContext,
+  node: Deno.lint.Node,
+  name: string | undefined,
+): void {
+  if (name === undefined || DICTATED_NAMES.has(name)) return;
+  if (hasListedVerb(name)) return;
+  context.report({
+    node,
+    message: `function name "${name}" must begin with a verb of tools/verbs.ts`,
+  });
+}
+
+function findImportFault(
+  folder: string,
+  source: string,
+  isTest: boolean,
+): string | undefined {
+  if (isTest) return undefined;
+  if (ENCODING_PACKAGES.has(source) && !ENCODING_FOLDERS.has(folder)) {
+    return `${folder} must not import the encoding package ${source}`;
+  }
+  const target =
+    /^(?:\.\.\/)+(kernel|model|settings|services|protocols|daemon|ctl)\//
+      .exec(source)?.[1];
+  if (target === undefined || target === folder) return undefined;
+  if (ALLOWED_IMPORTS[folder]?.includes(target)) return undefined;
+  return `${folder} must not import from ${target}`;
+}
+
+const plugin: Deno.lint.Plugin = {
+  name: "rhubarbwall",
+  rules: {
+    "function-verbs": {
+      create(context) {
+        return {
+          FunctionDeclaration(node) {
+            checkName(context, node, node.id?.name);
+          },
+          MethodDefinition(node) {
+            if (node.kind !== "method") return;
+            if (node.key.type === "Identifier") {
+              checkName(context, node, node.key.name);
+            }
+            if (node.key.type === "PrivateIdentifier") {
+              checkName(context, node, node.key.name);
+            }
+          },
+        };
+      },
+    },
+    "import-direction": {
+      create(context) {
+        const folder = findSourceFolder(context.filename);
+        if (folder === undefined) return {};
+        const isTest = context.filename.endsWith("_test.ts");
+        return {
+          ImportDeclaration(node) {
+            const fault = findImportFault(folder, node.source.value, isTest);
+            if (fault !== undefined) context.report({ node, message: fault });
+          },
+        };
+      },
+    },
+  },
+};
+
+export default plugin;
