--- /dev/null
+++ b/scripts/demo_fleet.ts
@@ -0,0 +1,194 @@
+/** A small fleet on the loopback address, for the demo and process tests. */
+import { createHash } from "node:crypto";
+import type { ChildProcess } from "node:child_process";
+import http from "node:http";
+import { findFreePorts, ProcessGroup, waitUntil } from "./processes.ts";
+import type { Finished } from "./processes.ts";
+
+const OPERATOR_KEY = "demo-operator-key";
+const START_LIMIT_MS = 10_000;
+
+/** One daemon of the fleet. */
+export interface FleetDaemon {
+  readonly name: string;
+  readonly callerPort: number;
+  readonly peerPort: number;
+  readonly operatorPort: number;
+  process: ChildProcess;
+}
+
+/** Options of {@linkcode startFleet}. */
+export interface FleetOptions {
+  /**
+   * Number of daemons.
+   * @default 3
+   */
+  daemons?: number;
+  /**
+   * Number of backend servers of the service `rota`.
+   * @default 4
+   */
+  servers?: number;
+}
+
+/** Status and body of an answer. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** Log, VM list, backend servers and daemons as separate processes. */
+export interface Fleet {
+  readonly group: ProcessGroup;
+  readonly logPort: number;
+  readonly serverPorts: readonly number[];
+  readonly daemons: readonly FleetDaemon[];
+  /** Environment under which `rhubarbctl` reaches the fleet. */
+  readonly ctlEnvironment: Record<string, string>;
+  /** Runs `rhubarbctl` with the given words. */
+  runCtl(...words: readonly string[]): Promise<Finished>;
+  /** Starts a daemon again, on the same ports. */
+  startDaemon(daemon: FleetDaemon): void;
+}
+
+/** Starts a fleet; stop it by its process group. */
+export async function startFleet(options: FleetOptions = {}): Promise<Fleet> {
+  const group = new ProcessGroup();
+  const serverCount = options.servers ?? 4;
+  const daemonCount = options.daemons ?? 3;
+  const ports = await findFreePorts(2 + serverCount + 3 * daemonCount);
+  const [logPort = 0, listPort = 0] = ports.splice(0, 2);
+  const serverPorts = ports.splice(0, serverCount);
+  startStandins(group, { logPort, listPort, serverPorts });
+  await waitUntil(() => isAnswering(listPort, "/vms"), START_LIMIT_MS);
+  const daemons: FleetDaemon[] = [];
+  const start = (daemon: Omit<FleetDaemon, "process">): ChildProcess =>
+    startDaemonProcess(group, daemon, { logPort, listPort });
+  for (let index = 0; index < daemonCount; index += 1) {
+    const [callerPort = 0, peerPort = 0, operatorPort = 0] = ports.splice(0, 3);
+    const name = `vm-${index + 1}`;
+    const daemon = { name, callerPort, peerPort, operatorPort };
+    daemons.push({ ...daemon, process: start(daemon) });
+  }
+  await updateVmList(listPort, daemons);
+  const ctlEnvironment = {
+    RHUBARBWALL_LOG_URL: `http://127.0.0.1:${logPort}`,
+    RHUBARBWALL_OPERATOR_KEY: OPERATOR_KEY,
+    RHUBARBWALL_DAEMONS: daemons.map((daemon) =>
+      `http://127.0.0.1:${daemon.operatorPort}`
+    ).join(),
+  };
+  return {
+    group,
+    logPort,
+    serverPorts,
+    daemons,
+    ctlEnvironment,
+    runCtl: (...words) => group.run("src/ctl/main.js", words, ctlEnvironment),
+    startDaemon: (daemon) => {
+      daemon.process = start(daemon);
+    },
+  };
+}
+
+interface StandinPorts {
+  readonly logPort: number;
+  readonly listPort: number;
+  readonly serverPorts: readonly number[];
+}
+
+function startStandins(group: ProcessGroup, ports: StandinPorts): void {
+  group.start("standins/main.js", ["log", String(ports.logPort)]);
+  group.start("standins/main.js", ["vm_list", String(ports.listPort)]);
+  ports.serverPorts.forEach((port, index) =>
+    group.start("standins/main.js", [
+      "server",
+      String(port),
+      `rota-${index + 1}`,
+    ])
+  );
+}
+
+function startDaemonProcess(
+  group: ProcessGroup,
+  daemon: Omit<FleetDaemon, "process">,
+  ports: Omit<StandinPorts, "serverPorts">,
+): ChildProcess {
+  const domain = Number(daemon.name.slice(3)) % 3 + 1;
+  return group.start("src/daemon/main.js", [
+    `--vm=${daemon.name}`,
+    `--failure-domain=domain-${domain}`,
+    `--caller-listen=127.0.0.1:${daemon.callerPort}`,
+    `--peer-listen=127.0.0.1:${daemon.peerPort}`,
+    `--operator-listen=127.0.0.1:${daemon.operatorPort}`,
+    `--log-url=http://127.0.0.1:${ports.logPort}`,
+    `--vm-list-url=http://127.0.0.1:${ports.listPort}/vms`,
+    `--operator-keys=${
+      createHash("sha256").update(OPERATOR_KEY).digest("hex")
+    }`,
+  ]);
+}
+
+async function updateVmList(
+  listPort: number,
+  daemons: readonly FleetDaemon[],
+): Promise<void> {
+  const vms = daemons.map((daemon) => ({
+    name: daemon.name,
+    peerAddress: `127.0.0.1:${daemon.peerPort}`,
+    leaving: false,
+  }));
+  await fetch(`http://127.0.0.1:${listPort}/vms`, {
+    method: "PUT",
+    body: JSON.stringify(vms),
+  });
+}
+
+async function isAnswering(port: number, path: string): Promise<boolean> {
+  const answer = await fetch(`http://127.0.0.1:${port}${path}`);
+  await answer.arrayBuffer();
+  return answer.ok;
+}
+
+/** Options of {@linkcode sendRequest}. */
+export interface CallerRequest {
+  readonly port: number;
+  readonly path: string;
+  /** @default "GET" */
+  readonly method?: string;
+  /** @default no key */
+  readonly key?: string;
+  /** @default no body */
+  readonly body?: string;
+  /** @default a new connection */
+  readonly agent?: http.Agent;
+}
+
+/** Sends one request as a caller; rejects when no whole answer comes. */
+export function sendRequest(request: CallerRequest): Promise<CallerAnswer> {
+  return new Promise((resolve, reject) => {
+    const sent = http.request({
+      host: "127.0.0.1",
+      port: request.port,
+      path: request.path,
+      method: request.method ?? "GET",
+      ...(request.agent && { agent: request.agent }),
+      headers: {
+        ...(request.key && { authorization: `Bearer ${request.key}` }),
+        ...(request.body && {
+          "content-length": String(Buffer.byteLength(request.body)),
+        }),
+      },
+    }, (response) => {
+      let body = "";
+      response.on("data", (chunk) => body += chunk);
+      response.on("error", reject);
+      response.on("end", () => {
+        if (!response.complete) return reject(new Error("cut short"));
+        resolve({ status: response.statusCode ?? 0, body });
+      });
+    });
+    sent.on("error", reject);
+    sent.end(request.body);
+  });
+}
--- /dev/null
+++ b/scripts/processes.ts
@@ -0,0 +1,105 @@
+/** Starts and ends the processes of the demo and of process tests. */
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import net from "node:net";
+import type { AddressInfo } from "node:net";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+
+const DIST = new URL("../", import.meta.url);
+
+/** Result of a process that has ended. */
+export interface Finished {
+  readonly code: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+/** Processes that were started here, and nothing else. */
+export class ProcessGroup {
+  readonly #children = new Set<ChildProcess>();
+
+  /** Starts a program of this project that goes on running. */
+  start(
+    program: string,
+    args: readonly string[],
+    environment: Record<string, string> = {},
+  ): ChildProcess {
+    const child = spawn(process.execPath, [getPath(program), ...args], {
+      stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, ...environment },
+    });
+    this.#children.add(child);
+    child.once("exit", () => this.#children.delete(child));
+    child.stdout?.resume();
+    if (process.env["SHOW_LOGS"] !== undefined) {
+      child.stderr?.pipe(process.stderr);
+    } else child.stderr?.resume();
+    return child;
+  }
+
+  /** Runs a program of this project to its end. */
+  async run(
+    program: string,
+    args: readonly string[],
+    environment: Record<string, string> = {},
+  ): Promise<Finished> {
+    const child = spawn(process.execPath, [getPath(program), ...args], {
+      stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, ...environment },
+    });
+    this.#children.add(child);
+    const output = { stdout: "", stderr: "" };
+    child.stdout.on("data", (chunk) => output.stdout += chunk);
+    child.stderr.on("data", (chunk) => output.stderr += chunk);
+    const [code] = await once(child, "close");
+    this.#children.delete(child);
+    return { code: Number(code ?? -1), ...output };
+  }
+
+  /** Asks all processes to end, kills those that do not, and waits. */
+  async stop(graceMs: number): Promise<void> {
+    const children = [...this.#children];
+    const ends = children.map((child) =>
+      child.exitCode === null && child.signalCode === null
+        ? once(child, "exit")
+        : Promise.resolve([])
+    );
+    for (const child of children) child.kill("SIGTERM");
+    const timer = setTimeout(() => {
+      for (const child of this.#children) child.kill("SIGKILL");
+    }, graceMs);
+    await Promise.all(ends);
+    clearTimeout(timer);
+  }
+}
+
+function getPath(program: string): string {
+  return fileURLToPath(new URL(program, DIST));
+}
+
+/** Finds `count` TCP ports that are free on the loopback address. */
+export async function findFreePorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => net.createServer());
+  for (const server of servers) {
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+  }
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  for (const server of servers) server.close();
+  return ports;
+}
+
+/** Waits until `check` returns true; throws after `limitMs`. */
+export async function waitUntil(
+  check: () => Promise<boolean>,
+  limitMs: number,
+): Promise<void> {
+  const end = performance.now() + limitMs;
+  while (performance.now() < end) {
+    if (await check().catch(() => false)) return;
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  throw new Error(`gave up after ${limitMs} ms`);
+}
--- /dev/null
+++ b/src/ctl/changes.ts
@@ -0,0 +1,94 @@
+/** Turns the flags of a command into the change that it asks for. */
+import { createHash, randomBytes } from "node:crypto";
+import { z } from "zod";
+import {
+  Idempotency,
+  PresetName,
+  RecordKind,
+  RouteAccess,
+  ServerPhase,
+} from "../model/mod.ts";
+import type { Change } from "../model/mod.ts";
+
+const KEY_BYTES = 24;
+
+const numberSchema = z.coerce.number();
+const teamSchema = z.object({
+  id: z.string(),
+  cell: z.string(),
+  rate: numberSchema,
+  burst: numberSchema,
+});
+const serverSchema = z.object({
+  id: z.string(),
+  service: z.string(),
+  host: z.string(),
+  port: numberSchema,
+  failureDomain: z.string(),
+  slots: numberSchema,
+  phase: z.enum(ServerPhase),
+});
+const routeSchema = z.object({
+  id: z.string(),
+  method: z.string(),
+  path: z.string(),
+  service: z.string(),
+  access: z.enum(RouteAccess),
+  idempotency: z.enum(Idempotency),
+  deadlineMs: numberSchema,
+  floor: numberSchema,
+});
+const presetSchema = z.object({
+  name: z.enum(PresetName),
+  rateFactor: numberSchema,
+  deadlineFactor: numberSchema,
+  retries: z.boolean(),
+});
+
+/** Flags of a command as yargs gives them. */
+export type CommandFlags = Readonly<Record<string, unknown>>;
+
+/** A new key; the secret is shown once and never logged. */
+export interface IssuedKey {
+  readonly secret: string;
+  readonly change: Change;
+}
+
+/** Creates the change of `team create` and `limit set`. */
+export function createTeamChange(flags: CommandFlags): Change {
+  const { id, cell, rate, burst } = teamSchema.parse(flags);
+  return {
+    kind: RecordKind.TeamSet,
+    team: { id, cell, ratePerSecond: rate, burst },
+  };
+}
+
+/** Creates the change of `server set`. */
+export function createServerChange(flags: CommandFlags): Change {
+  return { kind: RecordKind.ServerSet, server: serverSchema.parse(flags) };
+}
+
+/** Creates the change of `route set`. */
+export function createRouteChange(flags: CommandFlags): Change {
+  return { kind: RecordKind.RouteSet, route: routeSchema.parse(flags) };
+}
+
+/** Creates the change of `preset set`. */
+export function createPresetChange(flags: CommandFlags): Change {
+  return { kind: RecordKind.PresetSet, preset: presetSchema.parse(flags) };
+}
+
+/** Creates the change of `key issue`, with a new random key. */
+export function createKeyChange(team: string): IssuedKey {
+  const secret = `rbw_${randomBytes(KEY_BYTES).toString("base64url")}`;
+  return {
+    secret,
+    change: { kind: RecordKind.KeyIssue, digest: digestSecret(secret), team },
+  };
+}
+
+/** Computes the digest by which a key is known; a digest stays as it is. */
+export function digestSecret(text: string): string {
+  if (/^[0-9a-f]{64}$/.test(text)) return text;
+  return createHash("sha256").update(text).digest("hex");
+}
--- /dev/null
+++ b/src/ctl/publisher.ts
@@ -0,0 +1,176 @@
+/** Appends an operator's change and finds out how the log settled it. */
+import { randomUUID } from "node:crypto";
+import { LOG_READ_LIMIT_ENTRIES, RECORD_VERSION } from "../constants.ts";
+import { VerdictKind } from "../model/mod.ts";
+import type {
+  Change,
+  ConfigurationRecord,
+  Offset,
+  Verdict,
+} from "../model/mod.ts";
+import { checkRecord } from "../protocols/log/record_codec.ts";
+import type { Clock } from "../services/clock/mod.ts";
+import { Configuration, getRevision } from "../services/configuration/mod.ts";
+import { AppendKind, ReadKind } from "../services/log_client/mod.ts";
+import type { LogClient } from "../services/log_client/mod.ts";
+import { loadFromLog } from "../services/log_reader/recovery.ts";
+
+const READ_BACK_TRIES = 8;
+const READ_BACK_DELAY_MS = 250;
+
+/** How a change ended, as far as the operator can know. */
+export enum PublishKind {
+  Accepted = "accepted",
+  Conflict = "conflict",
+  /** The log holds the change, but it changes nothing. */
+  Ineffective = "ineffective",
+  /** The change was not appended. */
+  Refused = "refused",
+  /** The change may come into force later; ask again with its record id. */
+  Unknown = "unknown",
+}
+
+/** Result of a change. */
+export type PublishResult =
+  | {
+    readonly kind: PublishKind.Accepted;
+    readonly record: string;
+    readonly offset: Offset;
+  }
+  | {
+    readonly kind: PublishKind.Conflict;
+    readonly record: string;
+    readonly reason: string;
+  }
+  | {
+    readonly kind: PublishKind.Ineffective;
+    readonly record: string;
+    readonly reason: string;
+  }
+  | { readonly kind: PublishKind.Refused; readonly reason: string }
+  | {
+    readonly kind: PublishKind.Unknown;
+    readonly record: string;
+    readonly reason: string;
+  };
+
+/** What publishing works with. */
+export interface PublisherParts {
+  readonly log: LogClient;
+  readonly clock: Clock;
+}
+
+/** Thrown when the configuration can't be read; nothing was appended. */
+export class ReadFailedError extends Error {
+  /** Creates an error with the log's own reason. */
+  constructor(reason: string) {
+    super(`cannot read the log: ${reason}`);
+    this.name = "ReadFailedError";
+  }
+}
+
+/**
+ * Reads the whole configuration of all cells.
+ *
+ * Throws {@linkcode ReadFailedError} when the log can't be read to its head.
+ */
+export async function readConfiguration(
+  log: LogClient,
+): Promise<Configuration> {
+  const configuration = new Configuration(undefined);
+  const reason = await updateConfiguration(log, configuration);
+  if (reason !== undefined) throw new ReadFailedError(reason);
+  return configuration;
+}
+
+/**
+ * Appends one change on top of `configuration` and reads back its verdict.
+ *
+ * The record is appended once; a lost answer is resolved by its record id.
+ */
+export async function publishChange(
+  parts: PublisherParts,
+  configuration: Configuration,
+  change: Change,
+): Promise<PublishResult> {
+  const record: ConfigurationRecord = {
+    version: RECORD_VERSION,
+    id: randomUUID(),
+    base: getRevision(configuration.state, change),
+    change,
+  };
+  const faults = checkRecord(record);
+  if (faults.length > 0) {
+    return { kind: PublishKind.Refused, reason: faults.join("; ") };
+  }
+  const appended = await parts.log.append(record);
+  if (appended.kind === AppendKind.Refused) {
+    return { kind: PublishKind.Refused, reason: appended.reason };
+  }
+  return await readBack(parts, configuration, record.id);
+}
+
+/** Reads on until the record is found or the tries are used up. */
+async function readBack(
+  parts: PublisherParts,
+  configuration: Configuration,
+  id: string,
+): Promise<PublishResult> {
+  let reason = "the record is not in the log yet";
+  for (let tries = 0; tries < READ_BACK_TRIES; tries += 1) {
+    const fault = await updateConfiguration(parts.log, configuration);
+    const verdict = configuration.getVerdict(id);
+    if (verdict !== undefined) return createResult(id, verdict);
+    reason = fault ?? reason;
+    await parts.clock.sleep(READ_BACK_DELAY_MS);
+  }
+  return { kind: PublishKind.Unknown, record: id, reason };
+}
+
+function createResult(record: string, verdict: Verdict): PublishResult {
+  switch (verdict.kind) {
+    case VerdictKind.Accepted:
+      return { kind: PublishKind.Accepted, record, offset: verdict.revision };
+    case VerdictKind.Conflict:
+      return {
+        kind: PublishKind.Conflict,
+        record,
+        reason: `another change came first; revision is ${verdict.current}`,
+      };
+    case VerdictKind.Duplicate:
+      return {
+        kind: PublishKind.Ineffective,
+        record,
+        reason: "the record id was used before",
+      };
+    case VerdictKind.Skipped:
+      return { kind: PublishKind.Ineffective, record, reason: verdict.reason };
+  }
+}
+
+/** Applies the log up to its head; returns why that failed, if it did. */
+async function updateConfiguration(
+  log: LogClient,
+  configuration: Configuration,
+): Promise<string | undefined> {
+  while (true) {
+    const result = await log.read({
+      from: configuration.offset + 1,
+      limit: LOG_READ_LIMIT_ENTRIES,
+      waitMs: 0,
+    });
+    switch (result.kind) {
+      case ReadKind.Failed:
+        return result.reason;
+      case ReadKind.Trimmed: {
+        const { signal } = new AbortController();
+        const parts = { log, configuration };
+        if (await loadFromLog(parts, result.first, signal)) break;
+        return "it was trimmed and holds no whole snapshot";
+      }
+      case ReadKind.Entries:
+        for (const entry of result.entries) configuration.apply(entry);
+        if (configuration.offset >= result.head) return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,89 @@
+#!/usr/bin/env node
+/** `rhubarbwalld`: the daemon, one on each entry VM. */
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { STOP_DEADLINE_MS } from "../constants.ts";
+import { createSystemClock } from "../services/clock/mod.ts";
+import { createLogging, formatCause } from "../services/logging/mod.ts";
+import {
+  DAEMON_FLAGS,
+  formatVariable,
+  ResolutionKind,
+  resolveDaemonSettings,
+} from "../settings/mod.ts";
+import type { DaemonSettings } from "../settings/mod.ts";
+import { ENVIRONMENT_PREFIX } from "../constants.ts";
+import { createDaemonKernel } from "./wiring.ts";
+
+const EXIT_FAILURE = 1;
+const EXIT_USAGE = 2;
+
+async function parseFlags(): Promise<Record<string, unknown>> {
+  const parser = yargs(hideBin(process.argv))
+    .scriptName("rhubarbwalld")
+    .env(ENVIRONMENT_PREFIX)
+    .usage("$0 [flags]\n\nServes callers before backend servers.")
+    .strict()
+    .fail((message) => stopForUsage([message]));
+  for (const [name, flag] of Object.entries(DAEMON_FLAGS)) {
+    const fallback = "fallback" in flag ? ` [${flag.fallback}]` : "";
+    parser.option(name, {
+      type: "string",
+      describe: `${flag.description}${fallback} (${formatVariable(name)})`,
+    });
+  }
+  return await parser.parse();
+}
+
+function stopForUsage(faults: readonly string[]): never {
+  for (const fault of faults) process.stderr.write(`rhubarbwalld: ${fault}\n`);
+  process.exit(EXIT_USAGE);
+}
+
+async function runDaemon(settings: DaemonSettings): Promise<void> {
+  const clock = createSystemClock();
+  const logging = createLogging({
+    level: settings.logLevel,
+    format: settings.logFormat,
+    vm: settings.vm,
+  });
+  const logger = logging.createLogger("daemon");
+  const kernel = createDaemonKernel({
+    settings,
+    logging,
+    observer: {
+      recordFailure: (owner, cause) =>
+        logger.error(`${owner} failed: ${formatCause(cause)}`),
+    },
+  });
+  const stopRequested = waitForSignal();
+  await kernel.start();
+  logger.info(`serves as incarnation ${settings.incarnation}`);
+  await stopRequested;
+  process.once("SIGTERM", () => process.exit(EXIT_FAILURE));
+  process.once("SIGINT", () => process.exit(EXIT_FAILURE));
+  logger.info("stops as planned");
+  const isStopped = await kernel.stop(clock.sleep(STOP_DEADLINE_MS));
+  logger.info(isStopped ? "stopped" : "stopped before all work had ended");
+  process.exit(isStopped ? 0 : EXIT_FAILURE);
+}
+
+function waitForSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    process.once("SIGTERM", () => resolve());
+    process.once("SIGINT", () => resolve());
+  });
+}
+
+const resolution = resolveDaemonSettings(await parseFlags(), Date.now());
+switch (resolution.kind) {
+  case ResolutionKind.Invalid:
+    stopForUsage(resolution.faults);
+    break;
+  case ResolutionKind.Resolved:
+    await runDaemon(resolution.settings).catch((cause: unknown) => {
+      process.stderr.write(`rhubarbwalld: ${formatCause(cause)}\n`);
+      process.exit(EXIT_FAILURE);
+    });
+}
--- a/src/kernel/mod.ts
+++ b/src/kernel/mod.ts
@@ -1,4 +1,5 @@
 /** The micro-kernel: service registry and life-cycle manager. */
+export { Channel } from "./channel.ts";
 export { createDefinition, Kernel } from "./kernel.ts";
 export type { Finder, ServiceDefinition } from "./kernel.ts";
 export { KernelError, KernelErrorKind } from "./kernel_error.ts";
--- a/src/model/mod.ts
+++ b/src/model/mod.ts
@@ -3,3 +3,5 @@
 export type * from "./ids.ts";
 export * from "./outcomes.ts";
 export * from "./records.ts";
+export * from "./process.ts";
+export type * from "./http_message.ts";
--- /dev/null
+++ b/src/protocols/http/caller_exchange.ts
@@ -0,0 +1,169 @@
+/** One request of a caller over Node's HTTP server, and its answer. */
+import type http from "node:http";
+import { once } from "node:events";
+import type { HeaderField, Refusal } from "../../model/mod.ts";
+import type {
+  CallerExchange,
+  IncomingBody,
+  StreamedAnswer,
+  WholeAnswer,
+} from "../../services/caller_front/exchange.ts";
+import {
+  decodeHeaders,
+  encodeHeaders,
+  removeFields,
+  removeHopByHop,
+} from "./header_fields.ts";
+import { encodeRefusal } from "./refusal_codec.ts";
+
+const HTTP_OK = 200;
+const LENGTH_FIELD = new Set(["content-length"]);
+
+/** Options of {@linkcode createExchange}. */
+export interface ExchangeOptions {
+  /** Whether the caller waits for `100 Continue` before it sends the body. */
+  expectsContinue: boolean;
+  /** Whether the connection must close after this answer. */
+  isClosing: () => boolean;
+}
+
+/** Creates the exchange for a request that Node has parsed. */
+export function createExchange(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  options: ExchangeOptions,
+): CallerExchange {
+  const gone = new AbortController();
+  response.once("close", () => {
+    if (!response.writableFinished) gone.abort();
+  });
+  response.on("error", () => gone.abort());
+  const sender = new AnswerSender(request, response, options);
+  return {
+    head: {
+      method: request.method ?? "GET",
+      target: request.url ?? "/",
+      headers: removeHopByHop(decodeHeaders(request.rawHeaders)),
+    },
+    body: createIncomingBody(request, response, options),
+    signal: gone.signal,
+    get isAnswered() {
+      return response.headersSent;
+    },
+    sendWhole: (answer) => sender.sendWhole(answer),
+    sendStreamed: (answer) => sender.sendStreamed(answer),
+    sendRefusal: (refusal) => sender.sendRefusal(refusal),
+    sendValue: (value) => sender.sendValue(value),
+  };
+}
+
+function createIncomingBody(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  options: ExchangeOptions,
+): IncomingBody {
+  return {
+    length: getBodyLength(request),
+    read: async function* () {
+      if (options.expectsContinue) response.writeContinue();
+      for await (const chunk of request) yield chunk as Uint8Array;
+    },
+  };
+}
+
+function getBodyLength(request: http.IncomingMessage): number | undefined {
+  if (request.headers["transfer-encoding"] !== undefined) return undefined;
+  return Number(request.headers["content-length"] ?? 0);
+}
+
+/** Writes the one answer of an exchange. */
+class AnswerSender {
+  readonly #request: http.IncomingMessage;
+  readonly #response: http.ServerResponse;
+  readonly #options: ExchangeOptions;
+
+  constructor(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    options: ExchangeOptions,
+  ) {
+    this.#request = request;
+    this.#response = response;
+    this.#options = options;
+  }
+
+  async sendWhole(answer: WholeAnswer): Promise<void> {
+    const headers = removeHopByHop(answer.headers);
+    if (answer.body === undefined) {
+      this.#writeHead(answer.status, headers);
+      await this.#close(undefined);
+      return;
+    }
+    this.#writeHead(answer.status, [
+      ...removeFields(headers, LENGTH_FIELD),
+      { name: "content-length", value: String(answer.body.length) },
+    ]);
+    await this.#close(answer.body);
+  }
+
+  async sendStreamed(answer: StreamedAnswer): Promise<void> {
+    this.#writeHead(answer.status, removeHopByHop(answer.headers));
+    try {
+      for await (const chunk of answer.body) await this.#write(chunk);
+    } catch (error) {
+      this.#response.destroy();
+      throw error;
+    }
+    await this.#close(undefined);
+  }
+
+  async sendRefusal(refusal: Refusal): Promise<void> {
+    if (this.#response.headersSent) {
+      this.#response.destroy();
+      return;
+    }
+    const { status, headers, body } = encodeRefusal(refusal);
+    await this.sendWhole({ status, headers, body });
+  }
+
+  async sendValue(value: unknown): Promise<void> {
+    await this.sendWhole({
+      status: HTTP_OK,
+      headers: [
+        { name: "content-type", value: "application/json" },
+        { name: "cache-control", value: "no-store" },
+      ],
+      body: Buffer.from(JSON.stringify(value) + "\n"),
+    });
+  }
+
+  #writeHead(status: number, headers: readonly HeaderField[]): void {
+    if (this.#response.destroyed) return;
+    const fields = this.#isLast()
+      ? [...headers, { name: "connection", value: "close" }]
+      : headers;
+    this.#response.writeHead(status, encodeHeaders(fields));
+  }
+
+  /** A body that was not read to its end can't be followed by a request. */
+  #isLast(): boolean {
+    return this.#options.isClosing() || !this.#request.complete;
+  }
+
+  async #write(chunk: Uint8Array): Promise<void> {
+    if (this.#response.destroyed) throw new Error("the caller is gone");
+    if (this.#response.write(chunk)) return;
+    const closed = once(this.#response, "close").then(() => {
+      throw new Error("the caller is gone");
+    });
+    await Promise.race([once(this.#response, "drain"), closed]);
+  }
+
+  #close(chunk: Uint8Array | undefined): Promise<void> {
+    return new Promise((resolve) => {
+      if (this.#response.destroyed) return resolve();
+      this.#response.once("close", resolve);
+      this.#response.end(chunk, () => resolve());
+    });
+  }
+}
--- /dev/null
+++ b/src/protocols/http/caller_server.ts
@@ -0,0 +1,147 @@
+/** Callers over HTTP/1.1, by Node's server. */
+import http from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import {
+  CALLER_HEADER_LIMIT_BYTES,
+  CALLER_IDLE_TIMEOUT_MS,
+} from "../../constants.ts";
+import { Channel } from "../../kernel/mod.ts";
+import { RefusalKind, RunState, Step } from "../../model/mod.ts";
+import type { Refusal } from "../../model/mod.ts";
+import type {
+  CallerConnection,
+  CallerExchange,
+  CallerServer,
+} from "../../services/caller_front/exchange.ts";
+import type { Address } from "../../settings/mod.ts";
+import { createExchange } from "./caller_exchange.ts";
+import { encodeRefusal } from "./refusal_codec.ts";
+
+const HEADER_OVERFLOW = "HPE_HEADER_OVERFLOW";
+const CONNECTION_RESET = "ECONNRESET";
+
+/** State that the front end keeps for one connection. */
+class Connection implements CallerConnection {
+  readonly peer: string;
+  readonly requests = new Channel<CallerExchange>();
+
+  constructor(socket: Socket) {
+    this.peer = `${socket.remoteAddress}:${socket.remotePort}`;
+  }
+
+  listExchanges(): AsyncIterable<CallerExchange> {
+    return this.requests;
+  }
+}
+
+/** Accepts callers over HTTP/1.1. */
+class HttpCallerServer implements CallerServer {
+  readonly #address: Address;
+  readonly #server: http.Server;
+  readonly #accepted = new Channel<CallerConnection>();
+  readonly #connections = new Map<Socket, Connection>();
+  #isClosing = false;
+
+  constructor(address: Address) {
+    this.#address = address;
+    this.#server = http.createServer({
+      maxHeaderSize: CALLER_HEADER_LIMIT_BYTES,
+      keepAliveTimeout: CALLER_IDLE_TIMEOUT_MS,
+      requireHostHeader: true,
+    });
+    this.#server.on("connection", (socket) => this.#addConnection(socket));
+    this.#server.on("request", (request, response) => {
+      this.#addRequest(request, response, false);
+    });
+    this.#server.on("checkContinue", (request, response) => {
+      this.#addRequest(request, response, true);
+    });
+    this.#server.on("clientError", refuseUnparsed);
+  }
+
+  get port(): number {
+    return (this.#server.address() as AddressInfo | null)?.port ?? 0;
+  }
+
+  open(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(this.#address.port, this.#address.host, resolve);
+    });
+  }
+
+  listConnections(): AsyncIterable<CallerConnection> {
+    return this.#accepted;
+  }
+
+  closeAfterAnswers(): void {
+    this.#isClosing = true;
+  }
+
+  close(): Promise<void> {
+    this.#isClosing = true;
+    return new Promise((resolve) => {
+      this.#server.close(() => {
+        this.#accepted.close();
+        resolve();
+      });
+      this.#server.closeIdleConnections();
+    });
+  }
+
+  #addConnection(socket: Socket): void {
+    const connection = new Connection(socket);
+    this.#connections.set(socket, connection);
+    socket.setNoDelay(true);
+    socket.once("close", () => {
+      this.#connections.delete(socket);
+      connection.requests.close();
+    });
+    this.#accepted.send(connection);
+  }
+
+  #addRequest(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    expectsContinue: boolean,
+  ): void {
+    const connection = this.#connections.get(request.socket);
+    const exchange = createExchange(request, response, {
+      expectsContinue,
+      isClosing: () => this.#isClosing,
+    });
+    connection?.requests.send(exchange);
+  }
+}
+
+/** Creates a server for callers; it listens once it is opened. */
+export function createHttpCallerServer(address: Address): CallerServer {
+  return new HttpCallerServer(address);
+}
+
+/** Answers bytes that are no request; nothing of them was run. */
+function refuseUnparsed(error: NodeJS.ErrnoException, stream: unknown): void {
+  const socket = stream as Socket;
+  if (error.code === CONNECTION_RESET || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const kind = error.code === HEADER_OVERFLOW
+    ? RefusalKind.HeaderTooLarge
+    : RefusalKind.BadRequest;
+  const refusal: Refusal = {
+    kind,
+    step: Step.Parse,
+    peer: "",
+    run: RunState.NotRun,
+    retryAfterMs: 0,
+  };
+  const { status, headers, body } = encodeRefusal(refusal);
+  const lines = [
+    `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}`,
+    ...headers.map((field) => `${field.name}: ${field.value}`),
+    `content-length: ${body.length}`,
+    "connection: close",
+  ];
+  socket.end(`${lines.join("\r\n")}\r\n\r\n${Buffer.from(body)}`);
+}
--- /dev/null
+++ b/src/protocols/http/header_fields.ts
@@ -0,0 +1,54 @@
+/** Conversion between Node's raw header arrays and header fields. */
+import type { HeaderField } from "../../model/mod.ts";
+
+/** Fields that concern one connection alone and are never forwarded. */
+const HOP_BY_HOP = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Converts Node's flat array of names and values. */
+export function decodeHeaders(raw: readonly string[]): HeaderField[] {
+  const fields: HeaderField[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    fields.push({ name: raw[index] ?? "", value: raw[index + 1] ?? "" });
+  }
+  return fields;
+}
+
+/** Converts header fields to Node's flat array of names and values. */
+export function encodeHeaders(fields: readonly HeaderField[]): string[] {
+  const raw: string[] = [];
+  for (const field of fields) raw.push(field.name, field.value);
+  return raw;
+}
+
+/** Leaves out hop-by-hop fields, those that `Connection` names included. */
+export function removeHopByHop(fields: readonly HeaderField[]): HeaderField[] {
+  const named = new Set<string>();
+  for (const field of fields) {
+    if (field.name.toLowerCase() !== "connection") continue;
+    for (const token of field.value.split(",")) {
+      named.add(token.trim().toLowerCase());
+    }
+  }
+  return fields.filter((field) => {
+    const name = field.name.toLowerCase();
+    return !HOP_BY_HOP.has(name) && !named.has(name);
+  });
+}
+
+/** Leaves out fields whose lower-case name is in `names`. */
+export function removeFields(
+  fields: readonly HeaderField[],
+  names: ReadonlySet<string>,
+): HeaderField[] {
+  return fields.filter((field) => !names.has(field.name.toLowerCase()));
+}
--- /dev/null
+++ b/src/protocols/http/operator_server.ts
@@ -0,0 +1,101 @@
+/** Operators over HTTP: `GET /dump`, `/status` and `/metrics`. */
+import { createHash, timingSafeEqual } from "node:crypto";
+import http from "node:http";
+import type { AddressInfo } from "node:net";
+import { Channel } from "../../kernel/mod.ts";
+import {
+  OperatorAnswerKind,
+  OperatorQuery,
+} from "../../services/operator_front/mod.ts";
+import type {
+  OperatorAnswer,
+  OperatorRequest,
+  OperatorServer,
+} from "../../services/operator_front/mod.ts";
+import type { Address } from "../../settings/mod.ts";
+
+const HTTP_OK = 200;
+const HTTP_UNAUTHORIZED = 401;
+const HTTP_NOT_FOUND = 404;
+
+/** Options of {@linkcode createHttpOperatorServer}. */
+export interface OperatorServerOptions {
+  /** Where operators connect. */
+  address: Address;
+  /** SHA-256 digests of the keys that open the port; none opens it to nobody. */
+  keyDigests: readonly string[];
+}
+
+/** Creates a server for operators; it listens once it is opened. */
+export function createHttpOperatorServer(
+  options: OperatorServerOptions,
+): OperatorServer {
+  const asked = new Channel<OperatorRequest>();
+  const server = http.createServer((request, response) => {
+    if (!hasKey(request, options.keyDigests)) {
+      return sendJson(response, HTTP_UNAUTHORIZED, { error: "key_unknown" });
+    }
+    const query = parseQuery(request);
+    if (query === undefined) {
+      return sendJson(response, HTTP_NOT_FOUND, { error: "query_unknown" });
+    }
+    asked.send({ query, send: (answer) => sendAnswer(response, answer) });
+  });
+  return {
+    open: () =>
+      new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(options.address.port, options.address.host, resolve);
+      }),
+    get port() {
+      return (server.address() as AddressInfo | null)?.port ?? 0;
+    },
+    listRequests: () => asked,
+    close: () =>
+      new Promise((resolve) => {
+        asked.close();
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
+
+function hasKey(
+  request: http.IncomingMessage,
+  digests: readonly string[],
+): boolean {
+  const key = /^bearer +(\S+)$/i.exec(request.headers.authorization ?? "")?.[1];
+  if (key === undefined) return false;
+  const given = createHash("sha256").update(key).digest();
+  return digests.some((digest) =>
+    timingSafeEqual(given, Buffer.from(digest, "hex"))
+  );
+}
+
+function parseQuery(request: http.IncomingMessage): OperatorQuery | undefined {
+  if (request.method !== "GET") return undefined;
+  const name = request.url?.slice(1);
+  return Object.values(OperatorQuery).find((query) => query === name);
+}
+
+function sendAnswer(
+  response: http.ServerResponse,
+  answer: OperatorAnswer,
+): void {
+  switch (answer.kind) {
+    case OperatorAnswerKind.Value:
+      return sendJson(response, HTTP_OK, answer.value);
+    case OperatorAnswerKind.Text:
+      response.writeHead(HTTP_OK, { "content-type": "text/plain" });
+      response.end(answer.text);
+  }
+}
+
+function sendJson(
+  response: http.ServerResponse,
+  status: number,
+  value: unknown,
+): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(value) + "\n");
+}
--- /dev/null
+++ b/src/protocols/http/upstream_client.ts
@@ -0,0 +1,310 @@
+/** Backend servers over HTTP/1.1, by Node's client. */
+import http from "node:http";
+import type { Socket } from "node:net";
+import {
+  CONNECT_TIMEOUT_MS,
+  CONNECTIONS_PER_SERVER,
+  UPSTREAM_IDLE_MS,
+} from "../../constants.ts";
+import { FailureKind, OutcomeKind, Step } from "../../model/mod.ts";
+import type { AttemptOutcome, HeaderField, ServerId } from "../../model/mod.ts";
+import { BodyError } from "../../services/forwarding/upstream.ts";
+import type {
+  Attempt,
+  LoadReport,
+  UpstreamAnswer,
+  UpstreamClient,
+} from "../../services/forwarding/upstream.ts";
+import {
+  decodeHeaders,
+  encodeHeaders,
+  removeFields,
+  removeHopByHop,
+} from "./header_fields.ts";
+
+const ATTEMPT_FIELD = "rhubarbwall-attempt";
+const DEADLINE_FIELD = "rhubarbwall-deadline-ms";
+const NOT_RUN_FIELD = "rhubarbwall-not-run";
+const LOAD_FIELD = "rhubarbwall-load";
+const DRAINING_FIELD = "rhubarbwall-draining";
+const OWN_FIELDS = new Set([
+  ATTEMPT_FIELD,
+  DEADLINE_FIELD,
+  NOT_RUN_FIELD,
+  LOAD_FIELD,
+  DRAINING_FIELD,
+]);
+/** Methods whose requests name the length of their body even if it is none. */
+const BODY_METHODS = new Set(["POST", "PUT", "PATCH"]);
+const STATUS_NO_CONTENT = 204;
+const STATUS_NOT_MODIFIED = 304;
+
+/** Connections to one backend server. */
+interface ServerAgents {
+  /** Keeps connections for requests that may be sent again. */
+  readonly kept: http.Agent;
+  /** Opens a connection for each request that must not be. */
+  readonly fresh: http.Agent;
+}
+
+/** Creates a client of backend servers. */
+export function createHttpUpstreamClient(): UpstreamClient {
+  const agents = new Map<ServerId, ServerAgents>();
+  return {
+    send: (attempt) => sendAttempt(attempt, getAgents(agents, attempt)),
+    close: () => {
+      for (const { kept, fresh } of agents.values()) {
+        kept.destroy();
+        fresh.destroy();
+      }
+    },
+  };
+}
+
+function getAgents(
+  agents: Map<ServerId, ServerAgents>,
+  attempt: Attempt,
+): ServerAgents {
+  const existing = agents.get(attempt.server.id);
+  if (existing !== undefined) return existing;
+  const created = {
+    kept: new http.Agent({
+      keepAlive: true,
+      maxSockets: CONNECTIONS_PER_SERVER,
+      maxFreeSockets: CONNECTIONS_PER_SERVER,
+      timeout: UPSTREAM_IDLE_MS,
+    }),
+    fresh: new http.Agent({
+      keepAlive: false,
+      maxSockets: CONNECTIONS_PER_SERVER,
+    }),
+  };
+  agents.set(attempt.server.id, created);
+  return created;
+}
+
+function sendAttempt(
+  attempt: Attempt,
+  agents: ServerAgents,
+): Promise<AttemptOutcome<UpstreamAnswer>> {
+  const request = http.request({
+    host: attempt.server.host,
+    port: attempt.server.port,
+    method: attempt.method,
+    path: attempt.target,
+    headers: encodeHeaders(createHeaders(attempt)),
+    agent: attempt.mayReuseConnection ? agents.kept : agents.fresh,
+    setHost: false,
+  });
+  return new Promise((resolve) => {
+    const pending = new PendingAttempt(attempt, request, resolve);
+    pending.start();
+  });
+}
+
+/** An attempt until the head of its answer has come or it has failed. */
+class PendingAttempt {
+  readonly #attempt: Attempt;
+  readonly #request: http.ClientRequest;
+  readonly #resolve: (outcome: AttemptOutcome<UpstreamAnswer>) => void;
+  #step = Step.Connect;
+  #failure: FailureKind | undefined;
+  #connectTimer: NodeJS.Timeout | undefined;
+  #setConnected: () => void = () => {};
+  readonly #connected = new Promise<void>((resolve) => {
+    this.#setConnected = resolve;
+  });
+
+  constructor(
+    attempt: Attempt,
+    request: http.ClientRequest,
+    resolve: (outcome: AttemptOutcome<UpstreamAnswer>) => void,
+  ) {
+    this.#attempt = attempt;
+    this.#request = request;
+    this.#resolve = resolve;
+  }
+
+  start(): void {
+    const { signal } = this.#attempt;
+    const cancel = (): void => this.#cancel(FailureKind.Cancelled);
+    if (signal.aborted) cancel();
+    signal.addEventListener("abort", cancel, { once: true });
+    this.#request.once("close", () => {
+      signal.removeEventListener("abort", cancel);
+      clearTimeout(this.#connectTimer);
+      this.#setFailed(FailureKind.ConnectionLost);
+    });
+    this.#request.once("socket", (socket) => this.#waitForConnect(socket));
+    this.#request.on(
+      "error",
+      (error) => this.#setFailed(resolveFailure(error)),
+    );
+    this.#request.once("response", (response) => this.#setAnswered(response));
+    void this.#writeBody();
+  }
+
+  #waitForConnect(socket: Socket): void {
+    if (!socket.connecting) {
+      this.#step = Step.Write;
+      this.#setConnected();
+      return;
+    }
+    this.#connectTimer = setTimeout(
+      () => this.#cancel(FailureKind.TimedOut),
+      CONNECT_TIMEOUT_MS,
+    );
+    socket.once("connect", () => {
+      clearTimeout(this.#connectTimer);
+      this.#step = Step.Write;
+      socket.setNoDelay(true);
+      this.#setConnected();
+    });
+  }
+
+  async #writeBody(): Promise<void> {
+    const { body } = this.#attempt;
+    if (body === undefined) {
+      this.#request.end(() => this.#setWritten());
+      return;
+    }
+    await this.#connected;
+    try {
+      for await (const chunk of body) {
+        if (this.#request.destroyed) return;
+        if (!this.#request.write(chunk)) await this.#waitForDrain();
+      }
+      this.#request.end(() => this.#setWritten());
+    } catch {
+      this.#cancel(FailureKind.Cancelled);
+    }
+  }
+
+  #waitForDrain(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#request.once("drain", resolve);
+      this.#request.once("close", resolve);
+    });
+  }
+
+  #setWritten(): void {
+    if (this.#step === Step.Write) this.#step = Step.FirstByte;
+  }
+
+  #cancel(kind: FailureKind): void {
+    this.#failure ??= kind;
+    this.#request.destroy();
+    this.#setFailed(kind);
+  }
+
+  #setFailed(kind: FailureKind): void {
+    const failure = {
+      kind: this.#failure ?? kind,
+      step: this.#step,
+      peer: this.#attempt.server.id,
+    };
+    const isUnsent = this.#step === Step.Connect;
+    this.#resolve({
+      kind: isUnsent ? OutcomeKind.NotRun : OutcomeKind.MayHaveRun,
+      failure,
+    });
+  }
+
+  #setAnswered(response: http.IncomingMessage): void {
+    this.#resolve({
+      kind: OutcomeKind.Answered,
+      server: this.#attempt.server.id,
+      answer: createAnswer(this.#attempt, this.#request, response),
+    });
+  }
+}
+
+function createHeaders(attempt: Attempt): HeaderField[] {
+  const fields: HeaderField[] = [
+    ...attempt.headers.filter((field) =>
+      field.name.toLowerCase() !== "content-length"
+    ),
+    { name: ATTEMPT_FIELD, value: attempt.id },
+    {
+      name: DEADLINE_FIELD,
+      value: String(Math.max(0, Math.floor(attempt.remainingMs))),
+    },
+  ];
+  if (attempt.body === undefined) {
+    if (BODY_METHODS.has(attempt.method)) {
+      fields.push({ name: "content-length", value: "0" });
+    }
+    return fields;
+  }
+  if (attempt.bodyLength === undefined) {
+    fields.push({ name: "transfer-encoding", value: "chunked" });
+  } else {
+    fields.push({ name: "content-length", value: String(attempt.bodyLength) });
+  }
+  return fields;
+}
+
+function createAnswer(
+  attempt: Attempt,
+  request: http.ClientRequest,
+  response: http.IncomingMessage,
+): UpstreamAnswer {
+  const status = response.statusCode ?? 0;
+  const report = response.headers;
+  const headers = removeHopByHop(decodeHeaders(response.rawHeaders));
+  return {
+    status,
+    headers: removeFields(headers, OWN_FIELDS),
+    attempt: getField(report, ATTEMPT_FIELD),
+    isNotRun: getField(report, NOT_RUN_FIELD) === "true",
+    isDraining: getField(report, DRAINING_FIELD) === "true",
+    load: parseLoad(getField(report, LOAD_FIELD)),
+    hasBody: attempt.method !== "HEAD" && status !== STATUS_NO_CONTENT &&
+      status !== STATUS_NOT_MODIFIED,
+    readBody: () => readBody(attempt, response),
+    cancel: () => void request.destroy(),
+  };
+}
+
+async function* readBody(
+  attempt: Attempt,
+  response: http.IncomingMessage,
+): AsyncGenerator<Uint8Array> {
+  try {
+    for await (const chunk of response) yield chunk as Uint8Array;
+  } catch {
+    throw createBodyError(attempt);
+  }
+  if (!response.complete) throw createBodyError(attempt);
+}
+
+function createBodyError(attempt: Attempt): BodyError {
+  return new BodyError({
+    kind: attempt.signal.aborted
+      ? FailureKind.Cancelled
+      : FailureKind.Truncated,
+    step: Step.Body,
+    peer: attempt.server.id,
+  });
+}
+
+function getField(
+  headers: http.IncomingHttpHeaders,
+  name: string,
+): string | undefined {
+  const value = headers[name];
+  return typeof value === "string" ? value : undefined;
+}
+
+/** Parses `running=3, waiting=1`; any other text is no report. */
+function parseLoad(text: string | undefined): LoadReport | undefined {
+  const match = /^running=(\d{1,6}), waiting=(\d{1,6})$/.exec(text ?? "");
+  if (match === null) return undefined;
+  return { running: Number(match[1]), waiting: Number(match[2]) };
+}
+
+function resolveFailure(error: NodeJS.ErrnoException): FailureKind {
+  if (error.code === "ECONNREFUSED") return FailureKind.ConnectionRefused;
+  if (error.code?.startsWith("HPE_")) return FailureKind.InvalidAnswer;
+  return FailureKind.ConnectionLost;
+}
--- /dev/null
+++ b/src/services/admission/caller_key.ts
@@ -0,0 +1,64 @@
+/** Finds a caller's key and keeps it from going any further. */
+import { createHash } from "node:crypto";
+import type { HeaderField, KeyDigest } from "../../model/mod.ts";
+
+/** Whether a request carries a key. */
+export enum KeyPresence {
+  None = "none",
+  One = "one",
+  /** More than one, or one in a place that would be forwarded. */
+  Misplaced = "misplaced",
+}
+
+/** The key of a request and the header fields that may be forwarded. */
+export interface CallerKey {
+  readonly presence: KeyPresence;
+  /** Digest of the key; empty when there is none. */
+  readonly digest: KeyDigest;
+  /** The fields without the key, and without this project's own. */
+  readonly forwarded: readonly HeaderField[];
+}
+
+const KEY_FIELD = "authorization";
+const KEY_SCHEME = /^bearer +(\S+)$/i;
+const OWN_FIELD_PREFIX = "rhubarbwall-";
+
+/** Computes the digest by which a key is known in the log. */
+export function digestKey(key: string): KeyDigest {
+  return createHash("sha256").update(key).digest("hex");
+}
+
+/** Takes the key out of a request's fields and checks that it is nowhere else. */
+export function takeKey(
+  fields: readonly HeaderField[],
+  target: string,
+): CallerKey {
+  const forwarded: HeaderField[] = [];
+  const keys: string[] = [];
+  for (const field of fields) {
+    const name = field.name.toLowerCase();
+    if (name === KEY_FIELD) keys.push(field.value);
+    else if (!name.startsWith(OWN_FIELD_PREFIX)) forwarded.push(field);
+  }
+  const [first] = keys;
+  if (first === undefined) {
+    return { presence: KeyPresence.None, digest: "", forwarded };
+  }
+  const key = KEY_SCHEME.exec(first.trim())?.[1];
+  if (keys.length > 1 || key === undefined) {
+    return { presence: KeyPresence.Misplaced, digest: "", forwarded };
+  }
+  if (isRepeated(key, forwarded, target)) {
+    return { presence: KeyPresence.Misplaced, digest: "", forwarded };
+  }
+  return { presence: KeyPresence.One, digest: digestKey(key), forwarded };
+}
+
+function isRepeated(
+  key: string,
+  fields: readonly HeaderField[],
+  target: string,
+): boolean {
+  if (target.includes(key)) return true;
+  return fields.some((field) => field.value.includes(key));
+}
--- /dev/null
+++ b/src/services/admission/mod.ts
@@ -0,0 +1,158 @@
+/** Admission service: decides whether a request may run, and for whom. */
+import {
+  KeyPhase,
+  RefusalKind,
+  RouteAccess,
+  RunState,
+  Step,
+} from "../../model/mod.ts";
+import type {
+  HeaderField,
+  KeyDigest,
+  Preset,
+  Refusal,
+  RequestHead,
+  Route,
+  Team,
+} from "../../model/mod.ts";
+import type { Clock } from "../clock/mod.ts";
+import type { Configuration } from "../configuration/mod.ts";
+import { FreshnessKind } from "../freshness/mod.ts";
+import type { Freshness } from "../freshness/mod.ts";
+import { KeyPresence, takeKey } from "./caller_key.ts";
+import { parsePath } from "./target.ts";
+
+export { digestKey } from "./caller_key.ts";
+
+/** Whether a request may run. */
+export enum AdmissionKind {
+  Admitted = "admitted",
+  Refused = "refused",
+}
+
+/** What an admitted request runs under, from its arrival to its end. */
+export interface RequestPlan {
+  readonly method: string;
+  readonly target: string;
+  /** Header fields that may be forwarded; the key is not among them. */
+  readonly headers: readonly HeaderField[];
+  readonly route: Route;
+  /** Undefined on a route that is open to all. */
+  readonly team: Team | undefined;
+  /** Digest of the caller's key; empty on a route that is open to all. */
+  readonly key: KeyDigest;
+  readonly preset: Preset;
+  /** Monotonic times in milliseconds. */
+  readonly arrivedAt: number;
+  readonly deadlineAt: number;
+}
+
+/** The decision on a request. */
+export type AdmissionDecision =
+  | { readonly kind: AdmissionKind.Admitted; readonly plan: RequestPlan }
+  | { readonly kind: AdmissionKind.Refused; readonly refusal: Refusal };
+
+/** What admission decides by. */
+export interface AdmissionParts {
+  readonly clock: Clock;
+  readonly configuration: Configuration;
+  readonly freshness: Freshness;
+}
+
+/** Decides on requests. */
+export class Admission {
+  readonly #parts: AdmissionParts;
+
+  /** Creates the service. */
+  constructor(parts: AdmissionParts) {
+    this.#parts = parts;
+  }
+
+  /** Decides on a request that has just arrived, under one configuration. */
+  admit(head: RequestHead): AdmissionDecision {
+    const { clock, configuration } = this.#parts;
+    const path = parsePath(head.target);
+    if (path === undefined) {
+      return refuse(RefusalKind.BadRequest, Step.Parse);
+    }
+    const caller = takeKey(head.headers, head.target);
+    if (caller.presence === KeyPresence.Misplaced) {
+      return refuse(RefusalKind.BadRequest, Step.Key);
+    }
+    const { state } = configuration;
+    const missing = this.#checkLoaded();
+    if (missing !== undefined) return missing;
+    const route = state.routeTable.find(head.method, path);
+    if (route === undefined) {
+      return refuse(RefusalKind.RouteUnknown, Step.Route);
+    }
+    const key = route.access === RouteAccess.Open ? "" : caller.digest;
+    if (route.access === RouteAccess.TeamBound) {
+      const refusal = this.checkKey(caller.digest);
+      if (refusal !== undefined) {
+        return { kind: AdmissionKind.Refused, refusal };
+      }
+    }
+    const preset = state.getPreset();
+    const arrivedAt = clock.now();
+    return {
+      kind: AdmissionKind.Admitted,
+      plan: {
+        method: head.method,
+        target: head.target,
+        headers: caller.forwarded,
+        route,
+        team: state.teams.get(state.keys.get(key)?.team ?? ""),
+        key,
+        preset,
+        arrivedAt,
+        deadlineAt: arrivedAt + route.deadlineMs * preset.deadlineFactor,
+      },
+    };
+  }
+
+  /** Checks again, before a dispatch, whether an admitted request may run. */
+  checkPlan(plan: RequestPlan): Refusal | undefined {
+    if (this.#parts.clock.now() >= plan.deadlineAt) {
+      return createRefusal(RefusalKind.DeadlineExpired, Step.Queue);
+    }
+    if (plan.route.access === RouteAccess.Open) return undefined;
+    return this.checkKey(plan.key);
+  }
+
+  /** Checks a key against the newest configuration and its freshness. */
+  checkKey(digest: KeyDigest): Refusal | undefined {
+    if (digest === "") return createRefusal(RefusalKind.KeyMissing, Step.Key);
+    const { state } = this.#parts.configuration;
+    const key = state.keys.get(digest);
+    if (key === undefined) {
+      return createRefusal(RefusalKind.KeyUnknown, Step.Key);
+    }
+    if (key.phase === KeyPhase.Withdrawn || !state.teams.has(key.team)) {
+      return createRefusal(RefusalKind.KeyWithdrawn, Step.Key);
+    }
+    if (this.#parts.freshness.getReport().kind === FreshnessKind.Stale) {
+      return createRefusal(RefusalKind.ConfigurationStale, Step.Freshness);
+    }
+    return undefined;
+  }
+
+  #checkLoaded(): AdmissionDecision | undefined {
+    const { kind } = this.#parts.freshness.getReport();
+    if (kind !== FreshnessKind.Missing) return undefined;
+    return refuse(RefusalKind.ConfigurationMissing, Step.Freshness);
+  }
+}
+
+/** Creates a refusal of a request that no backend server has seen. */
+export function createRefusal(
+  kind: RefusalKind,
+  step: Step,
+  retryAfterMs = 0,
+): Refusal {
+  return { kind, step, peer: "", run: RunState.NotRun, retryAfterMs };
+}
+
+function refuse(kind: RefusalKind, step: Step): AdmissionDecision {
+  return { kind: AdmissionKind.Refused, refusal: createRefusal(kind, step) };
+}
--- /dev/null
+++ b/src/services/catalog.ts
@@ -0,0 +1,78 @@
+/** The names of all services and the type that each name stands for. */
+import { createDefinition } from "../kernel/mod.ts";
+import type { ServiceDefinition } from "../kernel/mod.ts";
+import type { DaemonSettings } from "../settings/daemon_settings.ts";
+import type { Admission } from "./admission/mod.ts";
+import type { CallerFront } from "./caller_front/mod.ts";
+import type { CallerServer } from "./caller_front/exchange.ts";
+import type { Clock } from "./clock/mod.ts";
+import type { Configuration } from "./configuration/mod.ts";
+import type { Dispatch } from "./dispatch/mod.ts";
+import type { Forwarding } from "./forwarding/mod.ts";
+import type { UpstreamClient } from "./forwarding/upstream.ts";
+import type { Freshness } from "./freshness/mod.ts";
+import type { LogClient } from "./log_client/mod.ts";
+import type { LogReader } from "./log_reader/mod.ts";
+import type { Logging } from "./logging/mod.ts";
+import type { Metrics } from "./metrics/mod.ts";
+import type { OperatorFront } from "./operator_front/mod.ts";
+import type { OperatorServer } from "./operator_front/mod.ts";
+import type { Random } from "./random/mod.ts";
+import type { Selection } from "./selection/mod.ts";
+
+/** Names that services find each other by. */
+export enum ServiceName {
+  Settings = "settings",
+  Clock = "clock",
+  Random = "random",
+  Logging = "logging",
+  Metrics = "metrics",
+  LogClient = "log_client",
+  Configuration = "configuration",
+  Freshness = "freshness",
+  LogReader = "log_reader",
+  Admission = "admission",
+  Selection = "selection",
+  Dispatch = "dispatch",
+  UpstreamClient = "upstream_client",
+  Forwarding = "forwarding",
+  CallerServer = "caller_server",
+  CallerFront = "caller_front",
+  OperatorServer = "operator_server",
+  OperatorFront = "operator_front",
+}
+
+/** The type behind each name. */
+export interface Services {
+  [ServiceName.Settings]: DaemonSettings;
+  [ServiceName.Clock]: Clock;
+  [ServiceName.Random]: Random;
+  [ServiceName.Logging]: Logging;
+  [ServiceName.Metrics]: Metrics;
+  [ServiceName.LogClient]: LogClient;
+  [ServiceName.Configuration]: Configuration;
+  [ServiceName.Freshness]: Freshness;
+  [ServiceName.LogReader]: LogReader;
+  [ServiceName.Admission]: Admission;
+  [ServiceName.Selection]: Selection;
+  [ServiceName.Dispatch]: Dispatch;
+  [ServiceName.UpstreamClient]: UpstreamClient;
+  [ServiceName.Forwarding]: Forwarding;
+  [ServiceName.CallerServer]: CallerServer;
+  [ServiceName.CallerFront]: CallerFront;
+  [ServiceName.OperatorServer]: OperatorServer;
+  [ServiceName.OperatorFront]: OperatorFront;
+}
+
+/** A definition of one of this project's services. */
+export type Definition<Name extends ServiceName> = ServiceDefinition<
+  Services,
+  Name
+>;
+
+/** Defines one of this project's services. */
+export function createServiceDefinition<Name extends ServiceName>(
+  definition: Definition<Name>,
+): Definition<Name> {
+  return createDefinition<Services, Name>(definition);
+}
--- /dev/null
+++ b/src/services/configuration/reducer.ts
@@ -0,0 +1,195 @@
+/** The deterministic reducer: applies one record to the configuration. */
+import { RECORD_VERSION } from "../../constants.ts";
+import { KeyPhase, RecordKind, VerdictKind } from "../../model/mod.ts";
+import type {
+  CellId,
+  Change,
+  ConfigurationRecord,
+  Offset,
+  Revision,
+  Verdict,
+} from "../../model/mod.ts";
+import type { ConfigurationState } from "./state.ts";
+
+/** What the reducer works on. */
+export interface ReducerContext {
+  readonly state: ConfigurationState;
+  /** Keeps teams of this cell alone; undefined keeps the teams of all. */
+  readonly cell: CellId | undefined;
+}
+
+/**
+ * Applies `record`, found in the log at `offset`, to the state.
+ *
+ * The verdict depends on the entries of the log alone, so it is the same on
+ * every VM that keeps the changed object.
+ */
+export function applyRecord(
+  context: ReducerContext,
+  record: ConfigurationRecord,
+  offset: Offset,
+): Verdict {
+  if (record.version !== RECORD_VERSION) {
+    return createSkipped(`version ${record.version} is unknown`);
+  }
+  if (!isKept(context, record.change)) return createSkipped("other cell");
+  const fault = findMissingReference(context.state, record.change);
+  if (fault !== undefined) return createSkipped(fault);
+  const current = getRevision(context.state, record.change);
+  if (current !== record.base) {
+    return { kind: VerdictKind.Conflict, current };
+  }
+  applyChange(context.state, record.change, offset);
+  return { kind: VerdictKind.Accepted, revision: offset };
+}
+
+/** Gets the revision of the object that `change` is about; 0 if it is absent. */
+export function getRevision(
+  state: ConfigurationState,
+  change: Change,
+): Revision {
+  switch (change.kind) {
+    case RecordKind.TeamSet:
+      return state.teams.get(change.team.id)?.revision ?? 0;
+    case RecordKind.TeamRemove:
+      return state.teams.get(change.team)?.revision ?? 0;
+    case RecordKind.KeyIssue:
+    case RecordKind.KeyWithdraw:
+      return state.keys.get(change.digest)?.revision ?? 0;
+    case RecordKind.ServiceSet:
+      return state.services.get(change.service.id)?.revision ?? 0;
+    case RecordKind.ServerSet:
+      return state.servers.get(change.server.id)?.revision ?? 0;
+    case RecordKind.ServerRemove:
+      return state.servers.get(change.server)?.revision ?? 0;
+    case RecordKind.RouteSet:
+      return state.routes.get(change.route.id)?.revision ?? 0;
+    case RecordKind.RouteRemove:
+      return state.routes.get(change.route)?.revision ?? 0;
+    case RecordKind.PresetSet:
+      return state.presets.get(change.preset.name)?.revision ?? 0;
+    case RecordKind.PresetSwitch:
+      return state.presetInForce.revision;
+    case RecordKind.SnapshotChunk:
+      return 0;
+  }
+}
+
+function createSkipped(reason: string): Verdict {
+  return { kind: VerdictKind.Skipped, reason };
+}
+
+function isKept(context: ReducerContext, change: Change): boolean {
+  if (change.kind !== RecordKind.TeamSet) return true;
+  return context.cell === undefined || change.team.cell === context.cell ||
+    context.state.teams.has(change.team.id);
+}
+
+function findMissingReference(
+  state: ConfigurationState,
+  change: Change,
+): string | undefined {
+  switch (change.kind) {
+    case RecordKind.KeyIssue:
+      return state.teams.has(change.team)
+        ? undefined
+        : `team ${change.team} is unknown`;
+    case RecordKind.KeyWithdraw:
+      return state.keys.has(change.digest) ? undefined : "key is unknown";
+    case RecordKind.TeamRemove:
+      return state.teams.has(change.team)
+        ? undefined
+        : `team ${change.team} is unknown`;
+    case RecordKind.ServerSet:
+      return state.services.has(change.server.service)
+        ? undefined
+        : `service ${change.server.service} is unknown`;
+    case RecordKind.RouteSet:
+      return state.services.has(change.route.service)
+        ? undefined
+        : `service ${change.route.service} is unknown`;
+    case RecordKind.ServerRemove:
+      return state.servers.has(change.server)
+        ? undefined
+        : `server ${change.server} is unknown`;
+    case RecordKind.RouteRemove:
+      return state.routes.has(change.route)
+        ? undefined
+        : `route ${change.route} is unknown`;
+    case RecordKind.TeamSet:
+    case RecordKind.ServiceSet:
+    case RecordKind.PresetSet:
+    case RecordKind.PresetSwitch:
+    case RecordKind.SnapshotChunk:
+      return undefined;
+  }
+}
+
+function applyChange(
+  state: ConfigurationState,
+  change: Change,
+  revision: Revision,
+): void {
+  switch (change.kind) {
+    case RecordKind.TeamSet:
+      state.teams.set(change.team.id, { ...change.team, revision });
+      return;
+    case RecordKind.TeamRemove:
+      state.teams.delete(change.team);
+      removeKeysOfTeam(state, change.team, revision);
+      return;
+    case RecordKind.KeyIssue:
+      state.keys.set(change.digest, {
+        digest: change.digest,
+        team: change.team,
+        phase: KeyPhase.Issued,
+        revision,
+      });
+      return;
+    case RecordKind.KeyWithdraw: {
+      const key = state.keys.get(change.digest);
+      if (key === undefined) return;
+      state.keys.set(key.digest, {
+        ...key,
+        phase: KeyPhase.Withdrawn,
+        revision,
+      });
+      return;
+    }
+    case RecordKind.ServiceSet:
+      state.services.set(change.service.id, { ...change.service, revision });
+      return;
+    case RecordKind.ServerSet:
+      state.setServer({ ...change.server, revision });
+      return;
+    case RecordKind.ServerRemove:
+      state.removeServer(change.server);
+      return;
+    case RecordKind.RouteSet:
+      state.setRoute({ ...change.route, revision });
+      return;
+    case RecordKind.RouteRemove:
+      state.removeRoute(change.route);
+      return;
+    case RecordKind.PresetSet:
+      state.presets.set(change.preset.name, { ...change.preset, revision });
+      return;
+    case RecordKind.PresetSwitch:
+      state.presetInForce = { name: change.preset, revision };
+      return;
+    case RecordKind.SnapshotChunk:
+      return;
+  }
+}
+
+/** Withdraws the keys of a removed team, so that a new one can't revive them. */
+function removeKeysOfTeam(
+  state: ConfigurationState,
+  team: string,
+  revision: Revision,
+): void {
+  for (const key of state.keys.values()) {
+    if (key.team !== team) continue;
+    state.keys.set(key.digest, { ...key, phase: KeyPhase.Withdrawn, revision });
+  }
+}
--- /dev/null
+++ b/src/services/configuration/state.ts
@@ -0,0 +1,141 @@
+/** The configuration at one offset, with the indexes that look-ups need. */
+import { PresetName, SnapshotItemKind } from "../../model/mod.ts";
+import type {
+  Key,
+  KeyDigest,
+  Offset,
+  Preset,
+  Revision,
+  Route,
+  RouteId,
+  Server,
+  ServerId,
+  Service,
+  ServiceId,
+  SnapshotItem,
+  Team,
+  TeamId,
+} from "../../model/mod.ts";
+import { RouteTable } from "./route_table.ts";
+
+const DEFAULT_PRESETS: readonly Preset[] = [
+  {
+    name: PresetName.Ordinary,
+    rateFactor: 1,
+    deadlineFactor: 1,
+    retries: true,
+    revision: 0,
+  },
+  {
+    name: PresetName.Peak,
+    rateFactor: 1,
+    deadlineFactor: 1,
+    retries: true,
+    revision: 0,
+  },
+  {
+    name: PresetName.Maintenance,
+    rateFactor: 0.5,
+    deadlineFactor: 2,
+    retries: false,
+    revision: 0,
+  },
+];
+
+/** Which preset is in force, and since which record. */
+export interface PresetInForce {
+  readonly name: PresetName;
+  readonly revision: Revision;
+}
+
+/**
+ * Objects never change in place: a change puts a new object in the map, so a
+ * request that holds objects sees one configuration from start to end.
+ */
+export class ConfigurationState {
+  offset: Offset = 0;
+  presetInForce: PresetInForce = { name: PresetName.Ordinary, revision: 0 };
+  readonly teams = new Map<TeamId, Team>();
+  readonly keys = new Map<KeyDigest, Key>();
+  readonly services = new Map<ServiceId, Service>();
+  readonly servers = new Map<ServerId, Server>();
+  readonly routes = new Map<RouteId, Route>();
+  readonly presets = new Map<PresetName, Preset>(
+    DEFAULT_PRESETS.map((preset) => [preset.name, preset]),
+  );
+  readonly routeTable = new RouteTable();
+  readonly #serversOfService = new Map<ServiceId, Map<ServerId, Server>>();
+
+  /** Sets a backend server and keeps the index by service. */
+  setServer(server: Server): void {
+    this.removeServer(server.id);
+    this.servers.set(server.id, server);
+    const siblings = this.#serversOfService.get(server.service) ?? new Map();
+    siblings.set(server.id, server);
+    this.#serversOfService.set(server.service, siblings);
+  }
+
+  /** Removes a backend server; does nothing when there is none. */
+  removeServer(id: ServerId): void {
+    const server = this.servers.get(id);
+    if (server === undefined) return;
+    this.servers.delete(id);
+    this.#serversOfService.get(server.service)?.delete(id);
+  }
+
+  /** Sets a route and keeps the index by path. */
+  setRoute(route: Route): void {
+    this.removeRoute(route.id);
+    this.routes.set(route.id, route);
+    this.routeTable.set(route);
+  }
+
+  /** Removes a route; does nothing when there is none. */
+  removeRoute(id: RouteId): void {
+    const route = this.routes.get(id);
+    if (route === undefined) return;
+    this.routes.delete(id);
+    this.routeTable.remove(route);
+  }
+
+  /** Lists the backend servers of a service, in the order they were set. */
+  listServers(service: ServiceId): Server[] {
+    return [...(this.#serversOfService.get(service)?.values() ?? [])];
+  }
+
+  /** Gets the preset in force. */
+  getPreset(): Preset {
+    const preset = this.presets.get(this.presetInForce.name);
+    if (preset === undefined) throw new Error("the preset in force is missing");
+    return preset;
+  }
+
+  /** Puts one object of a snapshot in place. */
+  loadItem(item: SnapshotItem): void {
+    switch (item.kind) {
+      case SnapshotItemKind.Team:
+        this.teams.set(item.team.id, item.team);
+        return;
+      case SnapshotItemKind.Key:
+        this.keys.set(item.key.digest, item.key);
+        return;
+      case SnapshotItemKind.Service:
+        this.services.set(item.service.id, item.service);
+        return;
+      case SnapshotItemKind.Server:
+        this.setServer(item.server);
+        return;
+      case SnapshotItemKind.Route:
+        this.setRoute(item.route);
+        return;
+      case SnapshotItemKind.Preset:
+        this.presets.set(item.preset.name, item.preset);
+        return;
+      case SnapshotItemKind.PresetInForce:
+        this.presetInForce = { name: item.preset, revision: item.revision };
+        return;
+      case SnapshotItemKind.AppliedId:
+        return;
+    }
+  }
+}
--- /dev/null
+++ b/src/services/dispatch/mod.ts
@@ -0,0 +1,142 @@
+/** Dispatch service: bounded concurrency, fair among teams. */
+import PQueue from "p-queue";
+import { QUEUE_LIMIT_PER_TEAM } from "../../constants.ts";
+import type { ServerId, ServiceId, TeamId } from "../../model/mod.ts";
+import { FairQueue } from "./fair_queue.ts";
+import type { FairOptions } from "./fair_queue.ts";
+
+/** How a unit of work left the queue. */
+export enum DispatchKind {
+  Ran = "ran",
+  /** The team has too much work waiting; nothing was run. */
+  QueueFull = "queue_full",
+  /** It was cancelled or its deadline passed; nothing was run. */
+  Cancelled = "cancelled",
+}
+
+/** Result of {@linkcode Dispatch.run}. */
+export type DispatchResult<T> =
+  | { readonly kind: DispatchKind.Ran; readonly value: T }
+  | { readonly kind: DispatchKind.QueueFull }
+  | { readonly kind: DispatchKind.Cancelled };
+
+/** Who wants work done, and until when. */
+export interface DispatchRequest {
+  readonly service: ServiceId;
+  /** Empty for callers without a team. */
+  readonly team: TeamId;
+  /** Aborts when the work is of no use any more. */
+  readonly signal: AbortSignal;
+}
+
+/** State of one service's queue, for dumps. */
+export interface QueueReport {
+  readonly service: ServiceId;
+  readonly concurrency: number;
+  readonly running: number;
+  readonly waiting: number;
+}
+
+type ServiceQueue = PQueue<FairQueue, FairOptions>;
+
+interface ServiceEntry {
+  readonly queue: ServiceQueue;
+  /** The order of the queue, kept to count a team's work. */
+  readonly order: FairQueue;
+}
+
+const INITIAL_CONCURRENCY = 4;
+
+/** Holds one queue for each service and one for each backend server. */
+export class Dispatch {
+  readonly #services = new Map<ServiceId, ServiceEntry>();
+  readonly #servers = new Map<ServerId, PQueue>();
+
+  /** Sets how much work of a service runs at the same time; at least 1. */
+  setServiceConcurrency(service: ServiceId, concurrency: number): void {
+    const { queue } = this.#getService(service);
+    const bounded = Math.max(1, Math.floor(concurrency));
+    if (queue.concurrency !== bounded) queue.concurrency = bounded;
+  }
+
+  /** Sets how much work runs at one backend server at a time; at least 1. */
+  setServerConcurrency(server: ServerId, concurrency: number): void {
+    const queue = this.#getServer(server);
+    const bounded = Math.max(1, Math.floor(concurrency));
+    if (queue.concurrency !== bounded) queue.concurrency = bounded;
+  }
+
+  /** Forgets a backend server that is gone. */
+  removeServer(server: ServerId): void {
+    this.#servers.delete(server);
+  }
+
+  /** Runs `job` when it is the team's turn at the service. */
+  async run<T>(
+    request: DispatchRequest,
+    job: () => Promise<T>,
+  ): Promise<DispatchResult<T>> {
+    const { queue, order } = this.#getService(request.service);
+    if (order.count(request.team) >= QUEUE_LIMIT_PER_TEAM) {
+      return { kind: DispatchKind.QueueFull };
+    }
+    let isStarted = false;
+    const runJob = (): Promise<T> => {
+      isStarted = true;
+      return job();
+    };
+    try {
+      const value = await queue.add(runJob, {
+        team: request.team,
+        signal: request.signal,
+      });
+      return { kind: DispatchKind.Ran, value };
+    } catch (error) {
+      if (isStarted) throw error;
+      return { kind: DispatchKind.Cancelled };
+    }
+  }
+
+  /** Runs `job` when the backend server has room for it. */
+  runOnServer<T>(server: ServerId, job: () => Promise<T>): Promise<T> {
+    return this.#getServer(server).add(job);
+  }
+
+  /** Lists the services' queues. */
+  getReport(): QueueReport[] {
+    return [...this.#services].map(([service, { queue }]) => ({
+      service,
+      concurrency: queue.concurrency,
+      running: queue.pending,
+      waiting: queue.size,
+    }));
+  }
+
+  #getService(service: ServiceId): ServiceEntry {
+    const existing = this.#services.get(service);
+    if (existing !== undefined) return existing;
+    const order = new FairQueue();
+    const queue: ServiceQueue = new PQueue<FairQueue, FairOptions>({
+      concurrency: INITIAL_CONCURRENCY,
+      queueClass: createQueueClass(order),
+    });
+    const entry = { queue, order };
+    this.#services.set(service, entry);
+    return entry;
+  }
+
+  #getServer(server: ServerId): PQueue {
+    const existing = this.#servers.get(server);
+    if (existing !== undefined) return existing;
+    const queue = new PQueue({ concurrency: INITIAL_CONCURRENCY });
+    this.#servers.set(server, queue);
+    return queue;
+  }
+}
+
+/** Gives p-queue, which wants to construct its order itself, a given one. */
+function createQueueClass(order: FairQueue): new () => FairQueue {
+  return function () {
+    return order;
+  } as unknown as new () => FairQueue;
+}
--- /dev/null
+++ b/src/services/forwarding/mod.ts
@@ -0,0 +1,280 @@
+/** Forwarding service: one request, from its plan to its caller's answer. */
+import { ATTEMPTS_PER_REQUEST } from "../../constants.ts";
+import {
+  FailureKind,
+  Idempotency,
+  OutcomeKind,
+  RefusalKind,
+  RunState,
+  Step,
+} from "../../model/mod.ts";
+import type { Failure, Refusal, Server } from "../../model/mod.ts";
+import { createRefusal } from "../admission/mod.ts";
+import type { Admission, RequestPlan } from "../admission/mod.ts";
+import type { CallerExchange } from "../caller_front/exchange.ts";
+import type { Clock } from "../clock/mod.ts";
+import { DispatchKind } from "../dispatch/mod.ts";
+import type { Dispatch } from "../dispatch/mod.ts";
+import { Counter } from "../metrics/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
+import type { Selection } from "../selection/mod.ts";
+import { AnswerBodyKind, readAnswerBody } from "./answer_body.ts";
+import type { AnswerBody } from "./answer_body.ts";
+import { readRequestBody } from "./request_body.ts";
+import type { RequestBody } from "./request_body.ts";
+import { RetryBudgets } from "./retry_budget.ts";
+import { BodyError } from "./upstream.ts";
+import type { Attempt, UpstreamAnswer, UpstreamClient } from "./upstream.ts";
+
+/** What forwarding works with. */
+export interface ForwardingParts {
+  readonly clock: Clock;
+  readonly admission: Admission;
+  readonly selection: Selection;
+  readonly dispatch: Dispatch;
+  readonly upstream: UpstreamClient;
+  readonly metrics: Metrics;
+  /** Prefix of attempt ids, unique to this start of the daemon. */
+  readonly attemptPrefix: string;
+}
+
+/** A request on its way. */
+interface Job {
+  readonly plan: RequestPlan;
+  readonly exchange: CallerExchange;
+  readonly body: RequestBody;
+  /** Aborts when the caller is gone or the deadline has passed. */
+  readonly signal: AbortSignal;
+}
+
+/** A server's answer that may be passed on. */
+interface Accepted {
+  readonly answer: UpstreamAnswer;
+  readonly body: AnswerBody;
+}
+
+type AttemptResult =
+  | { readonly kind: OutcomeKind.NotRun; readonly failure: Failure }
+  | { readonly kind: OutcomeKind.MayHaveRun; readonly failure: Failure }
+  | { readonly kind: OutcomeKind.Answered; readonly accepted: Accepted };
+
+/** Forwards requests to backend servers. */
+export class Forwarding {
+  readonly #parts: ForwardingParts;
+  readonly #budgets = new RetryBudgets();
+  #attemptCount = 0;
+
+  /** Creates the service. */
+  constructor(parts: ForwardingParts) {
+    this.#parts = parts;
+  }
+
+  /** Serves one admitted request; answers the caller exactly once. */
+  async serve(plan: RequestPlan, exchange: CallerExchange): Promise<void> {
+    const expired = new AbortController();
+    const finished = new AbortController();
+    const remainingMs = plan.deadlineAt - this.#parts.clock.now();
+    void this.#parts.clock.sleep(remainingMs, finished.signal)
+      .then(() => expired.abort());
+    const signal = AbortSignal.any([exchange.signal, expired.signal]);
+    try {
+      const body = await readRequestBody(exchange.body);
+      await this.#serveJob({ plan, exchange, body, signal });
+    } finally {
+      finished.abort();
+    }
+  }
+
+  async #serveJob(job: Job): Promise<void> {
+    const { plan, exchange, signal } = job;
+    const result = await this.#parts.dispatch.run(
+      {
+        service: plan.route.service,
+        team: plan.team?.id ?? "",
+        signal,
+      },
+      () => this.#runAttempts(job),
+    );
+    switch (result.kind) {
+      case DispatchKind.Ran:
+        return;
+      case DispatchKind.QueueFull:
+        return await this.#refuse(
+          exchange,
+          createRefusal(RefusalKind.QueueFull, Step.Queue),
+        );
+      case DispatchKind.Cancelled:
+        return await this.#refuse(
+          exchange,
+          createRefusal(RefusalKind.DeadlineExpired, Step.Queue),
+        );
+    }
+  }
+
+  /** Tries one server after the other until one answers or none may be tried. */
+  async #runAttempts(job: Job): Promise<void> {
+    const { plan, exchange } = job;
+    let refusal = createRefusal(RefusalKind.ServerUnavailable, Step.Queue);
+    let attempts = 0;
+    for (
+      const server of this.#parts.selection.selectServers(plan.route.service)
+    ) {
+      const withdrawn = this.#parts.admission.checkPlan(plan);
+      if (withdrawn !== undefined) {
+        refusal = { ...withdrawn, run: refusal.run };
+        break;
+      }
+      if (attempts > 0 && !this.#takeRetry(plan)) break;
+      attempts += 1;
+      const result = await this.#runAttempt(job, server);
+      if (result.kind === OutcomeKind.Answered) {
+        this.#budgets.recordSuccess(...this.#listBudgets(plan));
+        return await this.#sendAnswer(job, result.accepted);
+      }
+      refusal = createFailureRefusal(result, refusal.run, job.signal.aborted);
+      if (attempts >= ATTEMPTS_PER_REQUEST) break;
+      if (!isRepeatable(job, result.kind)) break;
+    }
+    await this.#refuse(exchange, refusal);
+  }
+
+  #takeRetry(plan: RequestPlan): boolean {
+    if (!plan.preset.retries) return false;
+    if (!this.#budgets.take(...this.#listBudgets(plan))) return false;
+    this.#parts.metrics.add(Counter.Retries);
+    return true;
+  }
+
+  #listBudgets(plan: RequestPlan): string[] {
+    return [
+      `service ${plan.route.service}`,
+      `team ${plan.team?.id ?? ""}`,
+    ];
+  }
+
+  async #runAttempt(job: Job, server: Server): Promise<AttemptResult> {
+    const { dispatch, selection, clock, metrics } = this.#parts;
+    return await dispatch.runOnServer(server.id, async () => {
+      const startedAt = clock.now();
+      metrics.add(Counter.Attempts);
+      selection.recordStart(server.id);
+      let answer: UpstreamAnswer | undefined;
+      try {
+        const attempt = this.#createAttempt(job, server);
+        const outcome = await this.#parts.upstream.send(attempt);
+        if (outcome.kind !== OutcomeKind.Answered) return outcome;
+        answer = outcome.answer;
+        return await checkAnswer(attempt, outcome.answer);
+      } finally {
+        selection.recordEnd(
+          server.id,
+          answer && {
+            latencyMs: clock.now() - startedAt,
+            isDraining: answer.isDraining,
+            load: answer.load,
+          },
+        );
+      }
+    });
+  }
+
+  #createAttempt(job: Job, server: Server): Attempt {
+    const { plan, body, signal } = job;
+    this.#attemptCount += 1;
+    return {
+      id: `${this.#parts.attemptPrefix}-${this.#attemptCount}`,
+      server,
+      method: plan.method,
+      target: plan.target,
+      headers: plan.headers,
+      bodyLength: body.length,
+      body: body.read(),
+      remainingMs: plan.deadlineAt - this.#parts.clock.now(),
+      mayReuseConnection: plan.route.idempotency === Idempotency.Idempotent,
+      signal,
+    };
+  }
+
+  async #sendAnswer(job: Job, accepted: Accepted): Promise<void> {
+    const { exchange } = job;
+    const { answer, body } = accepted;
+    this.#parts.metrics.add(Counter.Answers);
+    switch (body.kind) {
+      case AnswerBodyKind.None:
+        return await exchange.sendWhole({ ...answer, body: undefined });
+      case AnswerBodyKind.Whole:
+        return await exchange.sendWhole({ ...answer, body: body.bytes });
+      case AnswerBodyKind.Streamed:
+        return await exchange.sendStreamed({ ...answer, body: body.chunks });
+    }
+  }
+
+  async #refuse(exchange: CallerExchange, refusal: Refusal): Promise<void> {
+    this.#parts.metrics.add(Counter.Refusals, refusal.kind);
+    await exchange.sendRefusal(refusal);
+  }
+}
+
+/** Decides whether a server's answer is one to this attempt, and whole. */
+async function checkAnswer(
+  attempt: Attempt,
+  answer: UpstreamAnswer,
+): Promise<AttemptResult> {
+  const peer = attempt.server.id;
+  if (answer.attempt !== undefined && answer.attempt !== attempt.id) {
+    answer.cancel();
+    return {
+      kind: OutcomeKind.MayHaveRun,
+      failure: { kind: FailureKind.Crossed, step: Step.FirstByte, peer },
+    };
+  }
+  if (answer.isNotRun) {
+    answer.cancel();
+    return {
+      kind: OutcomeKind.NotRun,
+      failure: { kind: FailureKind.Shed, step: Step.FirstByte, peer },
+    };
+  }
+  try {
+    const body = await readAnswerBody(answer);
+    return { kind: OutcomeKind.Answered, accepted: { answer, body } };
+  } catch (error) {
+    answer.cancel();
+    if (!(error instanceof BodyError)) throw error;
+    return { kind: OutcomeKind.MayHaveRun, failure: error.failure };
+  }
+}
+
+/** A request that may have run is sent again only if that does no harm. */
+function isRepeatable(
+  job: Job,
+  kind: OutcomeKind.NotRun | OutcomeKind.MayHaveRun,
+): boolean {
+  if (job.signal.aborted || !job.body.isRepeatable) return false;
+  switch (kind) {
+    case OutcomeKind.NotRun:
+      return true;
+    case OutcomeKind.MayHaveRun:
+      return job.plan.route.idempotency === Idempotency.Idempotent;
+  }
+}
+
+/** Refuses by the newest failure, but says `not run` only if none may have run. */
+function createFailureRefusal(
+  result: Exclude<AttemptResult, { kind: OutcomeKind.Answered }>,
+  earlier: RunState,
+  isExpired: boolean,
+): Refusal {
+  const isUnknown = earlier === RunState.Unknown ||
+    result.kind === OutcomeKind.MayHaveRun;
+  const lost = isUnknown
+    ? RefusalKind.AnswerLost
+    : RefusalKind.ServerUnavailable;
+  return {
+    kind: isExpired ? RefusalKind.DeadlineExpired : lost,
+    step: result.failure.step,
+    peer: result.failure.peer,
+    run: isUnknown ? RunState.Unknown : RunState.NotRun,
+    retryAfterMs: 0,
+  };
+}
--- /dev/null
+++ b/src/services/log_reader/mod.ts
@@ -0,0 +1,119 @@
+/** Log reader: one task that follows the log and applies its entries. */
+import {
+  LOG_POLL_WAIT_MS,
+  LOG_READ_LIMIT_ENTRIES,
+  LOG_RETRY_MAX_MS,
+  LOG_RETRY_MIN_MS,
+} from "../../constants.ts";
+import type { Clock } from "../clock/mod.ts";
+import type { Configuration } from "../configuration/mod.ts";
+import type { Freshness } from "../freshness/mod.ts";
+import { ReadKind } from "../log_client/mod.ts";
+import type { LogClient, ReadResult } from "../log_client/mod.ts";
+import type { Logger } from "../logging/mod.ts";
+import { loadFromLog } from "./recovery.ts";
+
+/** What the reader works with. */
+export interface LogReaderParts {
+  readonly clock: Clock;
+  readonly log: LogClient;
+  readonly configuration: Configuration;
+  readonly freshness: Freshness;
+  readonly logger: Logger;
+}
+
+/** State of the reader, for dumps. */
+export interface LogReaderReport {
+  /** Newest offset that the log is known to hold. */
+  readonly head: number;
+  /** Why the last read failed; empty when it did not. */
+  readonly lastFailure: string;
+}
+
+/** Follows the log. */
+export class LogReader {
+  readonly #parts: LogReaderParts;
+  #head = 0;
+  #lastFailure = "";
+  #retryMs = LOG_RETRY_MIN_MS;
+
+  /** Creates a reader that has read nothing. */
+  constructor(parts: LogReaderParts) {
+    this.#parts = parts;
+  }
+
+  /** Gets the reader's state. */
+  getReport(): LogReaderReport {
+    return { head: this.#head, lastFailure: this.#lastFailure };
+  }
+
+  /** Follows the log until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const askedAt = this.#parts.clock.now();
+      const result = await this.#parts.log.read({
+        from: this.#parts.configuration.offset + 1,
+        limit: LOG_READ_LIMIT_ENTRIES,
+        waitMs: LOG_POLL_WAIT_MS,
+      }, signal);
+      if (signal.aborted) return;
+      const isRead = await this.#applyResult(result, askedAt, signal);
+      if (isRead) this.#setRecovered();
+      else await this.#waitForRetry(signal);
+    }
+  }
+
+  async #applyResult(
+    result: ReadResult,
+    askedAt: number,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    switch (result.kind) {
+      case ReadKind.Entries:
+        this.#head = result.head;
+        for (const entry of result.entries) {
+          this.#parts.configuration.apply(entry);
+        }
+        if (this.#parts.configuration.offset >= result.head) {
+          this.#parts.freshness.recordLogRead(askedAt);
+        }
+        return true;
+      case ReadKind.Trimmed:
+        this.#head = result.head;
+        return await this.#loadSnapshot(result.first, signal);
+      case ReadKind.Failed:
+        this.#setFailure(result.reason);
+        return false;
+    }
+  }
+
+  async #loadSnapshot(first: number, signal: AbortSignal): Promise<boolean> {
+    const { log, configuration, logger } = this.#parts;
+    const isLoaded = await loadFromLog({ log, configuration }, first, signal);
+    if (isLoaded) {
+      logger.info(`loaded a snapshot; offset is ${configuration.offset}`);
+      return true;
+    }
+    this.#setFailure("the log was trimmed and holds no whole snapshot");
+    return false;
+  }
+
+  #setFailure(reason: string): void {
+    if (this.#lastFailure === "") {
+      this.#parts.logger.warn(`cannot read the log: ${reason}`);
+    }
+    this.#lastFailure = reason;
+  }
+
+  #setRecovered(): void {
+    this.#retryMs = LOG_RETRY_MIN_MS;
+    if (this.#lastFailure === "") return;
+    this.#lastFailure = "";
+    this.#parts.logger.info("reads the log again");
+  }
+
+  async #waitForRetry(signal: AbortSignal): Promise<void> {
+    await this.#parts.clock.sleep(this.#retryMs, signal);
+    this.#retryMs = Math.min(this.#retryMs * 2, LOG_RETRY_MAX_MS);
+  }
+}
--- /dev/null
+++ b/src/services/metrics/mod.ts
@@ -0,0 +1,98 @@
+/** Metrics service: counters and latency histograms of one process. */
+import { build } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+
+const US_PER_MS = 1_000;
+const HIGHEST_US = 600_000_000;
+const SIGNIFICANT_DIGITS = 2;
+const ROUTES_KEPT = 512;
+const PERCENTILES = [50, 90, 99, 99.9] as const;
+
+/** Counters by name. */
+export enum Counter {
+  Requests = "requests",
+  Answers = "answers",
+  Attempts = "attempts",
+  Retries = "retries",
+  Refusals = "refusals",
+}
+
+/** Latency of one route, in milliseconds. */
+export interface LatencyReport {
+  readonly count: number;
+  readonly p50: number;
+  readonly p90: number;
+  readonly p99: number;
+  readonly p999: number;
+}
+
+/** What a process has counted. */
+export interface MetricsReport {
+  readonly counters: Readonly<Record<string, number>>;
+  readonly latencyMs: Readonly<Record<string, LatencyReport>>;
+}
+
+/** Counts events and records latencies. */
+export class Metrics {
+  readonly #counters = new Map<string, number>();
+  readonly #latencies = new Map<string, Histogram>();
+
+  /** Adds one to a counter; `label` tells apart what it counts. */
+  add(counter: Counter, label = ""): void {
+    const name = label === "" ? counter : `${counter}{kind="${label}"}`;
+    this.#counters.set(name, (this.#counters.get(name) ?? 0) + 1);
+  }
+
+  /** Records the time in milliseconds that a request of a route took. */
+  recordLatency(route: string, ms: number): void {
+    const histogram = this.#latencies.get(route) ?? this.#addRoute(route);
+    histogram.recordValue(Math.min(HIGHEST_US, Math.round(ms * US_PER_MS)));
+  }
+
+  /** Gets everything that was counted. */
+  getReport(): MetricsReport {
+    const latencyMs: Record<string, LatencyReport> = {};
+    for (const [route, histogram] of this.#latencies) {
+      const [p50 = 0, p90 = 0, p99 = 0, p999 = 0] = PERCENTILES.map(
+        (percentile) => histogram.getValueAtPercentile(percentile) / US_PER_MS,
+      );
+      latencyMs[route] = { count: histogram.totalCount, p50, p90, p99, p999 };
+    }
+    return { counters: Object.fromEntries(this.#counters), latencyMs };
+  }
+
+  /** Formats everything as text that a scraper can read. */
+  formatText(): string {
+    const lines: string[] = [];
+    for (const [name, value] of this.#counters) {
+      lines.push(`rhubarbwall_${name} ${value}`);
+    }
+    for (const [route, histogram] of this.#latencies) {
+      for (const percentile of PERCENTILES) {
+        const seconds = histogram.getValueAtPercentile(percentile) / 1e6;
+        const quantile = percentile / 100;
+        lines.push(
+          `rhubarbwall_latency_seconds{route="${route}",quantile="${quantile}"} ${seconds}`,
+        );
+      }
+      lines.push(
+        `rhubarbwall_latency_seconds_count{route="${route}"} ${histogram.totalCount}`,
+      );
+    }
+    return lines.join("\n") + "\n";
+  }
+
+  #addRoute(route: string): Histogram {
+    if (this.#latencies.size >= ROUTES_KEPT) {
+      const oldest = this.#latencies.keys().next();
+      if (!oldest.done) this.#latencies.delete(oldest.value);
+    }
+    const histogram = build({
+      lowestDiscernibleValue: 1,
+      highestTrackableValue: HIGHEST_US,
+      numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+    });
+    this.#latencies.set(route, histogram);
+    return histogram;
+  }
+}
--- /dev/null
+++ b/standins/json_server.ts
@@ -0,0 +1,82 @@
+/** A small JSON server that the stand-ins of the platform share. */
+import http from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** A request to a stand-in. */
+export interface StandinRequest {
+  readonly method: string;
+  readonly url: URL;
+  /** The parsed JSON body; undefined when there was none. */
+  readonly body: unknown;
+}
+
+/** Answer of a stand-in; `undefined` breaks the connection without one. */
+export type StandinAnswer =
+  | { readonly status: number; readonly value: unknown }
+  | undefined;
+
+/** A running stand-in. */
+export interface StandinServer {
+  /** TCP port on the loopback address. */
+  readonly port: number;
+  /** Closes the listener and all connections. */
+  close(): Promise<void>;
+}
+
+/** Starts a JSON server on the loopback address; port 0 picks a free one. */
+export async function startJsonServer(
+  port: number,
+  serve: (request: StandinRequest) => Promise<StandinAnswer>,
+): Promise<StandinServer> {
+  const server = http.createServer((request, response) => {
+    void serveRequest(request, response, serve);
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, "127.0.0.1", resolve);
+  });
+  return {
+    port: (server.address() as AddressInfo).port,
+    close: () => closeServer(server),
+  };
+}
+
+/** Closes an HTTP server with all its connections. */
+export function closeServer(server: http.Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeAllConnections();
+  });
+}
+
+async function serveRequest(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  serve: (request: StandinRequest) => Promise<StandinAnswer>,
+): Promise<void> {
+  const body = await readBody(request);
+  const answer = await serve({
+    method: request.method ?? "GET",
+    url: new URL(request.url ?? "/", "http://127.0.0.1"),
+    body,
+  }).catch((error: Error) => ({ status: 500, value: error.message }));
+  if (answer === undefined) {
+    request.socket.destroy();
+    return;
+  }
+  const text = JSON.stringify(answer.value ?? null);
+  response.writeHead(answer.status, { "content-type": "application/json" });
+  response.end(text);
+}
+
+async function readBody(request: http.IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  const text = Buffer.concat(chunks).toString("utf8");
+  if (text === "") return undefined;
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/standins/log_standin.ts
@@ -0,0 +1,163 @@
+/** Stand-in of the platform's append-only log service. */
+import { startJsonServer } from "./json_server.ts";
+import type {
+  StandinAnswer,
+  StandinRequest,
+  StandinServer,
+} from "./json_server.ts";
+
+/** What a log that is in trouble does. */
+export enum LogMode {
+  Up = "up",
+  /** Every connection breaks. */
+  Down = "down",
+  /** Every answer takes `delayMs`. */
+  Slow = "slow",
+  /** Appends take effect, but their answers are lost. */
+  LoseAnswers = "lose_answers",
+}
+
+/** An entry of the stand-in. */
+export interface StandinEntry {
+  readonly offset: number;
+  readonly body: string;
+}
+
+/** The log's entries in memory, without any transport. */
+export class MemoryLog {
+  mode: LogMode = LogMode.Up;
+  delayMs = 0;
+  readonly #retention: number;
+  #entries: StandinEntry[] = [];
+  #head = 0;
+  readonly #waiters = new Set<() => void>();
+
+  /** Creates an empty log that keeps the newest `retention` entries. */
+  constructor(retention = Infinity) {
+    this.#retention = retention;
+  }
+
+  /** Offset of the newest entry; 0 when nothing was appended. */
+  get head(): number {
+    return this.#head;
+  }
+
+  /** Offset of the oldest entry that is still held. */
+  get first(): number {
+    return this.#entries[0]?.offset ?? this.#head + 1;
+  }
+
+  /** Appends an entry and returns its offset. */
+  append(body: string): number {
+    this.#head += 1;
+    this.#entries.push({ offset: this.#head, body });
+    if (this.#entries.length > this.#retention) this.#entries.shift();
+    for (const waiter of [...this.#waiters]) waiter();
+    return this.#head;
+  }
+
+  /** Lists at most `limit` entries from the offset `from` on. */
+  list(from: number, limit: number): StandinEntry[] {
+    const start = Math.max(0, from - this.first);
+    return this.#entries.slice(start, start + limit);
+  }
+
+  /** Resolves when an entry at or after `from` is there. */
+  waitFor(from: number): Promise<void> {
+    if (this.#head >= from) return Promise.resolve();
+    return new Promise((resolve) => {
+      const waiter = (): void => {
+        this.#waiters.delete(waiter);
+        resolve();
+      };
+      this.#waiters.add(waiter);
+    });
+  }
+}
+
+/** Options of {@linkcode startLogStandin}. */
+export interface LogStandinOptions {
+  /**
+   * TCP port on the loopback address.
+   * @default 0, which picks a free one
+   */
+  port?: number;
+  /**
+   * Newest entries that are kept.
+   * @default Infinity
+   */
+  retention?: number;
+}
+
+/** Starts the log service; `POST /control` switches its mode. */
+export async function startLogStandin(
+  options: LogStandinOptions = {},
+): Promise<StandinServer & { readonly log: MemoryLog }> {
+  const log = new MemoryLog(options.retention);
+  const server = await startJsonServer(
+    options.port ?? 0,
+    (request) => serveLogRequest(log, request),
+  );
+  return { ...server, log };
+}
+
+async function serveLogRequest(
+  log: MemoryLog,
+  request: StandinRequest,
+): Promise<StandinAnswer> {
+  if (request.url.pathname === "/control") return updateMode(log, request);
+  if (log.mode === LogMode.Down) return undefined;
+  if (log.mode === LogMode.Slow) await sleepMs(log.delayMs);
+  switch (request.url.pathname) {
+    case "/append":
+      return appendBody(log, request);
+    case "/entries":
+      return await readEntries(log, request);
+    default:
+      return { status: 404, value: { error: "unknown path" } };
+  }
+}
+
+function updateMode(log: MemoryLog, request: StandinRequest): StandinAnswer {
+  const body = request.body as { mode?: LogMode; delayMs?: number };
+  log.mode = body.mode ?? LogMode.Up;
+  log.delayMs = body.delayMs ?? 0;
+  return { status: 200, value: { mode: log.mode } };
+}
+
+function appendBody(log: MemoryLog, request: StandinRequest): StandinAnswer {
+  const { body } = request.body as { body?: unknown };
+  if (typeof body !== "string") {
+    return { status: 400, value: { error: "body must be a string" } };
+  }
+  const offset = log.append(body);
+  if (log.mode === LogMode.LoseAnswers) return undefined;
+  return { status: 200, value: { offset } };
+}
+
+async function readEntries(
+  log: MemoryLog,
+  request: StandinRequest,
+): Promise<StandinAnswer> {
+  const query = request.url.searchParams;
+  const from = Number(query.get("from") ?? 1);
+  const limit = Number(query.get("limit") ?? 100);
+  const waitMs = Number(query.get("waitMs") ?? 0);
+  if (from < log.first) {
+    return { status: 410, value: { first: log.first, head: log.head } };
+  }
+  if (waitMs > 0) await Promise.race([log.waitFor(from), sleepMs(waitMs)]);
+  if (log.mode === LogMode.Down) return undefined;
+  return {
+    status: 200,
+    value: {
+      first: log.first,
+      head: log.head,
+      entries: log.list(from, limit),
+    },
+  };
+}
+
+function sleepMs(ms: number): Promise<void> {
+  return new Promise((resolve) => void setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/standins/server_standin.ts
@@ -0,0 +1,316 @@
+/** Stand-in of a backend server with slots, load reports and gray modes. */
+import http from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { closeServer } from "./json_server.ts";
+
+/** How the stand-in behaves. */
+export enum ServerMode {
+  Healthy = "healthy",
+  /** Every answer takes `slowFactor` times as long. */
+  Slow = "slow",
+  /** A share of the answers is status 500. */
+  Errors = "errors",
+  /** Requests are accepted and never answered. */
+  Hang = "hang",
+  /** Answers end before their announced length. */
+  Truncate = "truncate",
+  /** Answers echo the attempt id of another request. */
+  Cross = "cross",
+  /** Requests beyond the slots are shed and marked as not run. */
+  Shed = "shed",
+  /** The connection is closed once the request was run. */
+  Drop = "drop",
+}
+
+/** Options of {@linkcode startServerStandin}. */
+export interface ServerStandinOptions {
+  /** Name that answers carry. */
+  name: string;
+  /**
+   * TCP port on the loopback address.
+   * @default 0, which picks a free one
+   */
+  port?: number;
+  /**
+   * Requests run at the same time.
+   * @default 4
+   */
+  slots?: number;
+  /**
+   * Time that a request takes, in milliseconds.
+   * @default 2
+   */
+  workMs?: number;
+  /**
+   * Further time of each request in the first second, in milliseconds.
+   * @default 0
+   */
+  coldMs?: number;
+  /**
+   * Most connections held at the same time.
+   * @default 300
+   */
+  connections?: number;
+  /**
+   * Share of failing answers in the mode `errors`, 0 to 1.
+   * @default 0.5
+   */
+  errorShare?: number;
+  /**
+   * Factor on the work time in the mode `slow`.
+   * @default 10
+   */
+  slowFactor?: number;
+}
+
+/** What the stand-in has seen, for tests. */
+export interface SeenRequest {
+  readonly method: string;
+  readonly url: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+}
+
+const COLD_PERIOD_MS = 1_000;
+const ATTEMPT_HEADER = "rhubarbwall-attempt";
+
+/** A backend server on the loopback address. */
+export class ServerStandin {
+  mode: ServerMode = ServerMode.Healthy;
+  /** Whether answers say that the server drains. */
+  isDraining = false;
+  /** Whether the load report claims that the server is idle. */
+  isLying = false;
+  /** Whether request bodies and headers are kept in `seen`. */
+  keepsRequests = true;
+  /** The requests that were run, oldest first. */
+  readonly seen: SeenRequest[] = [];
+  /** Number of requests that were run. */
+  runCount = 0;
+  readonly #options: Required<ServerStandinOptions>;
+  readonly #server: http.Server;
+  readonly #startedAt = performance.now();
+  readonly #waiting: (() => void)[] = [];
+  #running = 0;
+  #failureCredit = 0;
+  #lastAttempt = "none";
+
+  /** Creates a server that does not listen yet. */
+  constructor(options: ServerStandinOptions) {
+    this.#options = {
+      port: 0,
+      slots: 4,
+      workMs: 2,
+      coldMs: 0,
+      connections: 300,
+      errorShare: 0.5,
+      slowFactor: 10,
+      ...options,
+    };
+    this.#server = http.createServer((request, response) => {
+      void this.#serve(request, response);
+    });
+    this.#server.maxConnections = this.#options.connections;
+  }
+
+  /** TCP port on which it listens. */
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Listens; rejects when the port is taken. */
+  start(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(this.#options.port, "127.0.0.1", resolve);
+    });
+  }
+
+  /** Closes the listener and all connections. */
+  close(): Promise<void> {
+    return closeServer(this.#server);
+  }
+
+  async #serve(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    try {
+      if (request.url === "/control") {
+        return await this.#setMode(request, response);
+      }
+      const body = await readText(request);
+      if (this.#isShedding()) return this.#sendShed(request, response);
+      await this.#takeSlot();
+      try {
+        await this.#run({ request, response, body });
+      } finally {
+        this.#releaseSlot();
+      }
+    } catch {
+      response.destroy();
+    }
+  }
+
+  async #run(exchange: Exchange): Promise<void> {
+    const { request, response, body } = exchange;
+    this.runCount += 1;
+    if (this.keepsRequests) {
+      this.seen.push({
+        method: request.method ?? "",
+        url: request.url ?? "",
+        headers: request.headers,
+        body,
+      });
+    }
+    await sleepMs(this.#getWorkMs());
+    switch (this.mode) {
+      case ServerMode.Healthy:
+      case ServerMode.Slow:
+      case ServerMode.Shed:
+        return this.#sendAnswer(exchange, 200);
+      case ServerMode.Errors:
+        return this.#sendAnswer(exchange, this.#isNextFailing() ? 500 : 200);
+      case ServerMode.Hang:
+        return await waitForClose(request.socket);
+      case ServerMode.Truncate:
+        return this.#sendTruncated(exchange);
+      case ServerMode.Cross:
+        return this.#sendAnswer(exchange, 200, this.#lastAttempt);
+      case ServerMode.Drop:
+        response.destroy();
+    }
+  }
+
+  #sendAnswer(exchange: Exchange, status: number, attempt?: string): void {
+    const { request, response, body } = exchange;
+    const own = String(request.headers[ATTEMPT_HEADER] ?? "none");
+    const value = {
+      server: this.#options.name,
+      method: request.method,
+      path: request.url,
+      bytes: Buffer.byteLength(body),
+    };
+    const text = Buffer.from(JSON.stringify(value) + "\n");
+    response.writeHead(status, {
+      ...this.#getReportHeaders(),
+      [ATTEMPT_HEADER]: attempt ?? own,
+      "content-type": "application/json",
+      "content-length": String(text.length),
+    });
+    response.end(text);
+    this.#lastAttempt = own;
+  }
+
+  #sendTruncated(exchange: Exchange): void {
+    const { request, response } = exchange;
+    response.writeHead(200, {
+      [ATTEMPT_HEADER]: String(request.headers[ATTEMPT_HEADER] ?? "none"),
+      "content-length": "1000",
+    });
+    response.write("cut short");
+    setImmediate(() => response.destroy());
+  }
+
+  #sendShed(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    response.writeHead(503, {
+      ...this.#getReportHeaders(),
+      [ATTEMPT_HEADER]: String(request.headers[ATTEMPT_HEADER] ?? "none"),
+      "rhubarbwall-not-run": "true",
+      "content-length": "0",
+    });
+    response.end();
+  }
+
+  #getReportHeaders(): http.OutgoingHttpHeaders {
+    const running = this.isLying ? 0 : this.#running;
+    const waiting = this.isLying ? 0 : this.#waiting.length;
+    return {
+      "rhubarbwall-load": `running=${running}, waiting=${waiting}`,
+      ...(this.isDraining && { "rhubarbwall-draining": "true" }),
+    };
+  }
+
+  async #setMode(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const wanted = JSON.parse(await readText(request)) as {
+      mode?: ServerMode;
+      draining?: boolean;
+      lying?: boolean;
+    };
+    this.mode = wanted.mode ?? this.mode;
+    this.isDraining = wanted.draining ?? this.isDraining;
+    this.isLying = wanted.lying ?? this.isLying;
+    response.end("{}\n");
+  }
+
+  #isShedding(): boolean {
+    return this.mode === ServerMode.Shed &&
+      this.#running >= this.#options.slots;
+  }
+
+  #isNextFailing(): boolean {
+    this.#failureCredit += this.#options.errorShare;
+    if (this.#failureCredit < 1) return false;
+    this.#failureCredit -= 1;
+    return true;
+  }
+
+  #getWorkMs(): number {
+    const isCold = performance.now() - this.#startedAt < COLD_PERIOD_MS;
+    const base = this.#options.workMs + (isCold ? this.#options.coldMs : 0);
+    return this.mode === ServerMode.Slow
+      ? base * this.#options.slowFactor
+      : base;
+  }
+
+  async #takeSlot(): Promise<void> {
+    if (this.#running >= this.#options.slots) {
+      await new Promise<void>((resolve) => this.#waiting.push(resolve));
+      return;
+    }
+    this.#running += 1;
+  }
+
+  #releaseSlot(): void {
+    const next = this.#waiting.shift();
+    if (next === undefined) this.#running -= 1;
+    else next();
+  }
+}
+
+interface Exchange {
+  readonly request: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  readonly body: string;
+}
+
+/** Starts a backend server on the loopback address. */
+export async function startServerStandin(
+  options: ServerStandinOptions,
+): Promise<ServerStandin> {
+  const server = new ServerStandin(options);
+  await server.start();
+  return server;
+}
+
+async function readText(request: http.IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString("utf8");
+}
+
+function waitForClose(socket: Socket): Promise<void> {
+  if (socket.destroyed) return Promise.resolve();
+  return new Promise((resolve) => void socket.once("close", () => resolve()));
+}
+
+function sleepMs(ms: number): Promise<void> {
+  if (ms <= 0) return Promise.resolve();
+  return new Promise((resolve) => void setTimeout(resolve, ms));
+}
--- a/tools/lint_plugin.ts
+++ b/tools/lint_plugin.ts
@@ -22,7 +22,7 @@
   model: [],
   settings: ["model"],
   services: ["kernel", "model", "settings"],
-  protocols: ["model", "services"],
+  protocols: ["kernel", "model", "settings", "services"],
   daemon: ["kernel", "model", "settings", "services", "protocols"],
   ctl: ["model", "settings", "protocols", "services"],
 };
