Test the edges of the path and measure what a daemon adds

Cause: truth and at-most-once are decided at the edges of HTTP. A request with less than 2 ms left is no longer dispatched: the test of expiry in the queue showed two requests sent to a server a fraction of a millisecond before their deadline.

--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,17 @@
+/** Runs a measurement by name: `npm run bench -- path`. */
+import process from "node:process";
+import { runPathBench } from "./path.ts";
+
+const BENCHES: Readonly<Record<string, () => Promise<void>>> = {
+  path: runPathBench,
+};
+
+const name = process.argv[2] ?? "";
+const runBench = BENCHES[name];
+if (runBench === undefined) {
+  const names = Object.keys(BENCHES).join(", ");
+  process.stderr.write(`bench: name one of ${names}\n`);
+  process.exit(2);
+}
+await runBench();
+process.exit();
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -65,6 +65,8 @@
 export const RETRY_BUDGET_RATIO = 0.1;
 /** Retries that an idle service or team may spend at once. */
 export const RETRY_BUDGET_BURST = 5;
+/** Time left below which a request is not dispatched any more. */
+export const MIN_ATTEMPT_MS = 2;
 /** Most attempts for one request. */
 export const ATTEMPTS_PER_REQUEST = 3;
 /** Most requests of one team that wait for one service on one VM. */
--- a/src/services/admission/mod.ts
+++ b/src/services/admission/mod.ts
@@ -1,4 +1,5 @@
 /** Admission service: decides whether a request may run, and for whom. */
+import { MIN_ATTEMPT_MS } from "../../constants.ts";
 import {
   KeyPhase,
   RefusalKind,
@@ -113,7 +114,8 @@
 
   /** Checks again, before a dispatch, whether an admitted request may run. */
   checkPlan(plan: RequestPlan): Refusal | undefined {
-    if (this.#parts.clock.now() >= plan.deadlineAt) {
+    const remainingMs = plan.deadlineAt - this.#parts.clock.now();
+    if (remainingMs < MIN_ATTEMPT_MS) {
       return createRefusal(RefusalKind.DeadlineExpired, Step.Queue);
     }
     if (plan.route.access === RouteAccess.Open) return undefined;
--- a/src/services/clock/mod.ts
+++ b/src/services/clock/mod.ts
@@ -25,7 +25,7 @@
 function sleepOnTimer(ms: number, signal?: AbortSignal): Promise<void> {
   if (signal?.aborted) return Promise.resolve();
   return new Promise((resolve) => {
-    const timer = setTimeout(stop, ms);
+    const timer = setTimeout(stop, Math.ceil(ms));
     signal?.addEventListener("abort", stop, { once: true });
     function stop(): void {
       clearTimeout(timer);
--- a/src/services/operator_front/mod.ts
+++ b/src/services/operator_front/mod.ts
@@ -1,4 +1,5 @@
 /** Operator front: answers operators' questions about this process. */
+import process from "node:process";
 import type { Configuration } from "../configuration/mod.ts";
 import type { CallerFront } from "../caller_front/mod.ts";
 import type { Dispatch } from "../dispatch/mod.ts";
@@ -8,6 +9,9 @@
 import type { Selection } from "../selection/mod.ts";
 import type { DaemonSettings } from "../../settings/mod.ts";
 
+const US_PER_MS = 1_000;
+const MS_PER_SECOND = 1_000;
+
 /** What an operator may ask a daemon for. */
 export enum OperatorQuery {
   /** The whole state of the process. */
@@ -111,6 +115,7 @@
     const { state } = configuration;
     return {
       ...this.getStatus(),
+      process: getProcessReport(),
       region: settings.region,
       failureDomain: settings.failureDomain,
       verdicts: configuration.counts,
@@ -129,3 +134,13 @@
     };
   }
 }
+
+/** Reports processor time in milliseconds and memory in bytes. */
+function getProcessReport(): Record<string, number> {
+  const { user, system } = process.cpuUsage();
+  return {
+    cpuMs: (user + system) / US_PER_MS,
+    residentBytes: process.memoryUsage.rss(),
+    uptimeMs: Math.round(process.uptime() * MS_PER_SECOND),
+  };
+}
--- /dev/null
+++ b/tests/forwarding_test.ts
@@ -0,0 +1,290 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type http from "node:http";
+import { once } from "node:events";
+import net from "node:net";
+import type { Route } from "../src/model/mod.ts";
+import { ServerMode, startServerStandin } from "../standins/server_standin.ts";
+import type { ServerStandin } from "../standins/server_standin.ts";
+import {
+  createRoute,
+  formatRequest,
+  KEY_LINE,
+  sendRaw,
+  startDaemon,
+  startScriptedServer,
+} from "./harness.ts";
+import type { TestDaemon } from "./harness.ts";
+
+const SLOTS = 4;
+
+interface Setup {
+  readonly daemon: TestDaemon;
+  readonly servers: readonly ServerStandin[];
+}
+
+/** Runs `body` with a daemon before backend servers of the given modes. */
+async function runWithServers(
+  modes: readonly ServerMode[],
+  body: (setup: Setup) => Promise<void>,
+  route: Partial<Route> = {},
+): Promise<void> {
+  const servers = await Promise.all(modes.map(async (mode, index) => {
+    const name = `rota-${index + 1}`;
+    const server = await startServerStandin({ name, workMs: 0 });
+    server.mode = mode;
+    return server;
+  }));
+  const ports = servers.map((server) => server.port);
+  const daemon = await startDaemon({ servers: ports, route });
+  try {
+    await body({ daemon, servers });
+  } finally {
+    await daemon.stop();
+    await Promise.all(servers.map((server) => server.close()));
+  }
+}
+
+/** Runs `body` with a daemon before a server that the test writes. */
+async function runWithScript(
+  serve: http.RequestListener,
+  body: (daemon: TestDaemon) => Promise<void>,
+): Promise<void> {
+  const server = await startScriptedServer(serve);
+  const daemon = await startDaemon({ servers: [server.port] });
+  try {
+    await body(daemon);
+  } finally {
+    await daemon.stop();
+    await server.close();
+  }
+}
+
+function sendGet(daemon: TestDaemon): Promise<string> {
+  return sendRaw(daemon.port, formatRequest("GET /turns", [KEY_LINE]));
+}
+
+function sendPost(daemon: TestDaemon): Promise<string> {
+  const headers = [KEY_LINE, "content-length: 2"];
+  return sendRaw(daemon.port, formatRequest("POST /swaps", headers, "ab"));
+}
+
+const { Healthy, Truncate, Cross, Drop, Hang, Shed } = ServerMode;
+
+for (const mode of [Truncate, Cross, Drop]) {
+  test(`an idempotent request survives a server in mode ${mode}`, async () => {
+    await runWithServers([mode, Healthy], async ({ daemon }) => {
+      for (let index = 0; index < 4; index += 1) {
+        const answer = await sendGet(daemon);
+        assert.match(answer, /^HTTP\/1.1 200 /);
+        assert.match(answer, /"server":"rota-2"/);
+      }
+    });
+  });
+
+  test(`a non-idempotent request runs once at a server in mode ${mode}`, async () => {
+    await runWithServers([mode, mode], async ({ daemon, servers }) => {
+      const answer = await sendPost(daemon);
+      assert.match(answer, /^HTTP\/1.1 502 /);
+      assert.match(answer, /"run":"unknown"/);
+      const runs = servers.map((server) => server.runCount);
+      assert.equal(runs.reduce((sum, count) => sum + count), 1);
+    });
+  });
+}
+
+test("a server that refuses connections costs no caller an answer", async () => {
+  const gone = await startServerStandin({ name: "gone" });
+  const { port } = gone;
+  await gone.close();
+  const server = await startServerStandin({ name: "rota-2", workMs: 0 });
+  const daemon = await startDaemon({ servers: [port, server.port] });
+  try {
+    for (let index = 0; index < 4; index += 1) {
+      assert.match(await sendPost(daemon), /^HTTP\/1.1 200 /);
+    }
+    assert.equal(server.runCount, 4);
+  } finally {
+    await daemon.stop();
+    await server.close();
+  }
+});
+
+test("with no server to connect to, a request is refused as not run", async () => {
+  const gone = await startServerStandin({ name: "gone" });
+  const { port } = gone;
+  await gone.close();
+  const daemon = await startDaemon({ servers: [port] });
+  try {
+    const answer = await sendPost(daemon);
+    assert.match(answer, /^HTTP\/1.1 503 /);
+    assert.match(answer, /"run":"not run"/);
+    assert.match(answer, /"peer":"rota-1"/);
+  } finally {
+    await daemon.stop();
+  }
+});
+
+test("a shed request that the server marks as not run is tried elsewhere", async () => {
+  const shedding = await startScriptedServer((request, response) => {
+    request.resume();
+    response.writeHead(503, {
+      "rhubarbwall-not-run": "true",
+      "content-length": "0",
+    });
+    response.end();
+  });
+  const server = await startServerStandin({ name: "rota-2", workMs: 0 });
+  const daemon = await startDaemon({ servers: [shedding.port, server.port] });
+  try {
+    for (let index = 0; index < 4; index += 1) {
+      assert.match(await sendPost(daemon), /^HTTP\/1.1 200 /);
+    }
+    assert.equal(server.runCount, 4);
+  } finally {
+    await daemon.stop();
+    await server.close();
+    await shedding.close();
+  }
+});
+
+test("a request past its deadline at a server is refused as unknown", async () => {
+  await runWithServers([Hang], async ({ daemon, servers }) => {
+    const answer = await sendGet(daemon);
+    assert.match(answer, /^HTTP\/1.1 504 /);
+    assert.match(answer, /"run":"unknown"/);
+    assert.equal(servers[0]?.runCount, 1);
+  }, { deadlineMs: 100 });
+});
+
+test("a request past its deadline in the queue is refused as not run", async () => {
+  const held: http.ServerResponse[] = [];
+  let isFull: () => void = () => {};
+  const full = new Promise<void>((resolve) => isFull = resolve);
+  await runWithScript((_request, response) => {
+    held.push(response);
+    if (held.length === SLOTS) isFull();
+  }, async (daemon) => {
+    await daemon.publish(createRoute("late", { deadlineMs: 50 }));
+    const running = Array.from({ length: SLOTS }, () => sendGet(daemon));
+    await full;
+    const line = formatRequest("GET /late", [KEY_LINE]);
+    const answer = await sendRaw(daemon.port, line);
+    assert.match(answer, /^HTTP\/1.1 504 /);
+    assert.match(answer, /"run":"not run"/);
+    for (const response of held) response.end();
+    await Promise.all(running);
+    assert.equal(held.length, SLOTS);
+  });
+});
+
+test("the deadline is passed on to the server", async () => {
+  await runWithServers([Healthy], async ({ daemon, servers }) => {
+    await sendGet(daemon);
+    const headers = servers[0]?.seen[0]?.headers ?? {};
+    const left = Number(headers["rhubarbwall-deadline-ms"]);
+    assert.ok(left > 0 && left <= 5_000);
+  });
+});
+
+test("a caller that leaves cancels its request at the server", async () => {
+  let isCancelled: () => void = () => {};
+  const cancelled = new Promise<void>((resolve) => isCancelled = resolve);
+  let isStarted: () => void = () => {};
+  const started = new Promise<void>((resolve) => isStarted = resolve);
+  await runWithScript((request) => {
+    isStarted();
+    request.socket.once("close", isCancelled);
+  }, async (daemon) => {
+    const socket = net.connect(daemon.port, "127.0.0.1");
+    socket.write(formatRequest("GET /turns", [KEY_LINE]));
+    await started;
+    socket.destroy();
+    await cancelled;
+  });
+});
+
+test("a long answer that breaks off never looks complete", async () => {
+  await runWithScript((_request, response) => {
+    response.writeHead(200, { "content-length": "1000000" });
+    response.write("x".repeat(600_000));
+    setTimeout(() => response.destroy(), 50);
+  }, async (daemon) => {
+    const answer = await sendGet(daemon);
+    assert.match(answer, /content-length: 1000000/);
+    assert.ok(answer.length < 1_000_000);
+  });
+});
+
+test("a long chunked answer that breaks off has no last chunk", async () => {
+  await runWithScript((_request, response) => {
+    response.writeHead(200);
+    response.write("x".repeat(600_000));
+    setTimeout(() => response.destroy(), 50);
+  }, async (daemon) => {
+    const answer = await sendGet(daemon);
+    assert.match(answer, /transfer-encoding: chunked/i);
+    assert.equal(answer.endsWith("0\r\n\r\n"), false);
+  });
+});
+
+test("a long answer is passed on whole", async () => {
+  await runWithScript((_request, response) => {
+    response.writeHead(200, { "content-length": "900000" });
+    response.end("y".repeat(900_000));
+  }, async (daemon) => {
+    const answer = await sendGet(daemon);
+    assert.equal(answer.split("\r\n\r\n")[1]?.length, 900_000);
+  });
+});
+
+test("an answer longer than it announced is not passed on as whole", async () => {
+  await runWithScript((request) => {
+    request.socket.end("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nabEXTRA");
+  }, async (daemon) => {
+    const answer = await sendGet(daemon);
+    assert.equal(answer.includes("EXTRA"), false);
+  });
+});
+
+for (const status of [204, 304]) {
+  test(`status ${status} is passed on without a body`, async () => {
+    await runWithScript((_request, response) => {
+      response.writeHead(status, { etag: '"1"' });
+      response.end();
+    }, async (daemon) => {
+      const answer = await sendGet(daemon);
+      assert.match(answer, new RegExp(`^HTTP/1.1 ${status} `));
+      assert.match(answer, /etag: "1"/);
+      assert.match(answer, /\r\n\r\n$/);
+    });
+  });
+}
+
+test("fields of one connection in an answer are not passed on", async () => {
+  await runWithScript((_request, response) => {
+    response.writeHead(200, {
+      "connection": "x-hop, close",
+      "x-hop": "1",
+      "x-kept": "2",
+      "rhubarbwall-load": "running=1, waiting=0",
+    });
+    response.end("ok");
+  }, async (daemon) => {
+    const answer = await sendGet(daemon);
+    assert.equal(/x-hop|rhubarbwall-load/i.test(answer), false);
+    assert.match(answer, /x-kept: 2/);
+  });
+});
+
+test("a caller that breaks off its body leaves no trace at a server", async () => {
+  await runWithServers([Shed], async ({ daemon, servers }) => {
+    const socket = net.connect(daemon.port, "127.0.0.1");
+    const headers = [KEY_LINE, "content-length: 10"];
+    socket.end(formatRequest("POST /swaps", headers, "abc"));
+    socket.resume();
+    await once(socket, "close");
+    await sendPost(daemon);
+    assert.equal(servers[0]?.runCount, 1);
+  });
+});
