Cut the cost of cancellation on the request path

Cause: a profile showed AbortSignal.any and an abort a request, each with a DOMException, as the largest cost of ours. Change: the clock starts plain timers that are cancelled without an abort; one controller a request carries deadline and caller's leave together.

--- a/src/services/clock/mod.ts
+++ b/src/services/clock/mod.ts
@@ -6,6 +6,8 @@
   now(): number;
   /** Wall-clock time in milliseconds since 1970; may jump. */
   wallNow(): number;
+  /** Runs `action` after `ms` milliseconds, unless the result is called first. */
+  startTimer(ms: number, action: () => void): () => void;
   /** Resolves after `ms` milliseconds, or as soon as `signal` aborts. */
   sleep(ms: number, signal?: AbortSignal): Promise<void>;
 }
@@ -18,6 +20,10 @@
   return {
     now: () => performance.now(),
     wallNow: () => Date.now(),
+    startTimer: (ms, action) => {
+      const timer = setTimeout(action, Math.ceil(ms));
+      return () => clearTimeout(timer);
+    },
     sleep: sleepOnTimer,
   };
 }
@@ -47,16 +53,16 @@
   operation: (signal: AbortSignal) => Promise<T>,
 ): Promise<T | typeof EXPIRED> {
   const deadline = new AbortController();
-  const finished = new AbortController();
-  const expiry: Promise<typeof EXPIRED> = clock.sleep(ms, finished.signal).then(
-    () => {
-      if (!finished.signal.aborted) deadline.abort();
-      return EXPIRED;
-    },
-  );
+  let cancel: () => void = () => {};
+  const expiry = new Promise<typeof EXPIRED>((resolve) => {
+    cancel = clock.startTimer(ms, () => {
+      deadline.abort();
+      resolve(EXPIRED);
+    });
+  });
   try {
     return await Promise.race([operation(deadline.signal), expiry]);
   } finally {
-    finished.abort();
+    cancel();
   }
 }
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -71,17 +71,16 @@
 
   /** Serves one admitted request; answers the caller exactly once. */
   async serve(plan: RequestPlan, exchange: CallerExchange): Promise<void> {
-    const expired = new AbortController();
-    const finished = new AbortController();
+    const ended = new AbortController();
+    const cancelJob = (): void => ended.abort();
     const remainingMs = plan.deadlineAt - this.#parts.clock.now();
-    void this.#parts.clock.sleep(remainingMs, finished.signal)
-      .then(() => expired.abort());
-    const signal = AbortSignal.any([exchange.signal, expired.signal]);
+    const cancelTimer = this.#parts.clock.startTimer(remainingMs, cancelJob);
+    exchange.signal.addEventListener("abort", cancelJob, { once: true });
     try {
       const body = await readRequestBody(exchange.body);
-      await this.#serveJob({ plan, exchange, body, signal });
+      await this.#serveJob({ plan, exchange, body, signal: ended.signal });
     } finally {
-      finished.abort();
+      cancelTimer();
     }
   }
 
--- a/standins/server_standin.ts
+++ b/standins/server_standin.ts
@@ -71,6 +71,7 @@
   readonly body: string;
 }
 
+const KEEP_ALIVE_MS = 60_000;
 const COLD_PERIOD_MS = 1_000;
 const ATTEMPT_HEADER = "rhubarbwall-attempt";
 
@@ -110,6 +111,7 @@
     this.#server = http.createServer((request, response) => {
       void this.#serve(request, response);
     });
+    this.#server.keepAliveTimeout = KEEP_ALIVE_MS;
     this.#server.maxConnections = this.#options.connections;
   }
 
