--- /dev/null
+++ b/bench/gray.ts
@@ -0,0 +1,262 @@
+/** Time to find a gray server, against two baselines in the same run. */
+import {
+  Idempotency,
+  RecordKind,
+  RouteAccess,
+  ServerPhase,
+} from "../src/model/mod.ts";
+import type { Server } from "../src/model/mod.ts";
+import { ServiceName } from "../src/services/catalog.ts";
+import type { Services } from "../src/services/catalog.ts";
+import {
+  AttemptVerdict,
+  ServerStanding,
+} from "../src/services/detector/mod.ts";
+import type { WatchedAttempt } from "../src/services/detector/mod.ts";
+import { createSeededRandom } from "../src/services/random/mod.ts";
+import type { VirtualClock } from "../standins/virtual_clock.ts";
+import process from "node:process";
+import { VirtualFleet } from "../tests/virtual_fleet.ts";
+import { createRoundRobinFakes } from "./baseline_policies.ts";
+import { LatencyRecorder, printLine, printTable } from "./report.ts";
+import { CallerOutcome, startLoad } from "./virtual_load.ts";
+import type { CallerResult } from "./virtual_load.ts";
+import { Fault, VirtualServer } from "./virtual_server.ts";
+
+/** Policies that are compared. */
+export enum Policy {
+  RoundRobin = "round robin, 5 errors",
+  /** Least expected wait of two, without any detection. */
+  NoDetection = "two choices, none",
+  Current = "current",
+}
+
+const VMS = 36;
+const SERVERS = 12;
+const RATE_PER_SECOND = 100;
+const WARM_MS = 8_000;
+const FAULT_MS = 5_000;
+const SEEDS = [1, 2];
+/** Share of its fair part below which a server counts as found out. */
+const FOUND_SHARE = 0.25;
+const WINDOW_MS = 1_000;
+const HEALTHY_HOUR_MS = 3_600_000;
+const HEALTHY_VMS = 4;
+
+/** A fleet, its servers and its callers. */
+export interface GrayWorld {
+  readonly fleet: VirtualFleet;
+  readonly servers: readonly VirtualServer[];
+}
+
+/** A detector that sees nothing. */
+function createBlindDetector(clock: VirtualClock): Partial<Services> {
+  const blind = {
+    recordStart: (server: Server): WatchedAttempt => ({
+      server,
+      startedAt: clock.now(),
+      isSlow: false,
+    }),
+    recordEnd: (_attempt: WatchedAttempt, _verdict: AttemptVerdict) => {},
+    recordDraining: () => {},
+    isDraining: () => false,
+    isSuspect: () => false,
+    getStanding: () => ServerStanding.Admitted,
+    getAdmittedMs: () => Infinity,
+    run: () => Promise.resolve(),
+  };
+  return { [ServiceName.Detector]: blind as never };
+}
+
+/** Starts a fleet in virtual time before servers of one service. */
+export async function createWorld(
+  policy: Policy,
+  size: number,
+  seed: number,
+): Promise<GrayWorld> {
+  const servers: VirtualServer[] = [];
+  const fleet: VirtualFleet = new VirtualFleet({
+    size,
+    seed,
+    sendAttempt: (attempt) =>
+      (servers[attempt.server.port - 1] as VirtualServer).send(attempt),
+    isOpen: (server) => servers[server.port - 1]?.fault !== Fault.Dead,
+    createFakes: (clock) => {
+      switch (policy) {
+        case Policy.Current:
+          return {};
+        case Policy.NoDetection:
+          return createBlindDetector(clock);
+        case Policy.RoundRobin:
+          return createRoundRobinFakes(
+            clock,
+            () => fleet.find("vm-01", ServiceName.Configuration),
+          );
+      }
+    },
+  });
+  const random = createSeededRandom(seed);
+  for (let index = 0; index < SERVERS; index += 1) {
+    servers.push(new VirtualServer(fleet.time, random));
+  }
+  publishService(fleet);
+  await fleet.start();
+  return { fleet, servers };
+}
+
+function publishService(fleet: VirtualFleet): void {
+  fleet.publish({ kind: RecordKind.ServiceSet, service: { id: "rota" } });
+  for (let index = 0; index < SERVERS; index += 1) {
+    fleet.publish({
+      kind: RecordKind.ServerSet,
+      server: {
+        id: `rota-${index + 1}`,
+        service: "rota",
+        host: "server.test",
+        port: index + 1,
+        failureDomain: `domain-${index % 3 + 1}`,
+        slots: 4,
+        phase: ServerPhase.Active,
+      },
+    });
+  }
+  for (const idempotency of Object.values(Idempotency)) {
+    fleet.publish({
+      kind: RecordKind.RouteSet,
+      route: {
+        id: idempotency.replaceAll("_", "-"),
+        method: "*",
+        path: `/${idempotency}`,
+        service: "rota",
+        access: RouteAccess.Open,
+        idempotency,
+        deadlineMs: 2_000,
+        floor: 0.5,
+      },
+    });
+  }
+}
+
+/** Starts both kinds of requests; returns the results as they come. */
+function startCallers(
+  world: GrayWorld,
+  seed: number,
+  durationMs: number,
+): CallerResult[][] {
+  const random = createSeededRandom(seed + 100);
+  const names = world.fleet.names;
+  return Object.values(Idempotency).map((idempotency) =>
+    startLoad(world.fleet, {
+      ratePerSecond: RATE_PER_SECOND / 2,
+      durationMs,
+      head: { method: "GET", target: `/${idempotency}`, headers: [] },
+      random,
+      pickVm: () => names[Math.floor(random() * names.length)] ?? "",
+    })
+  );
+}
+
+interface GrayFigures {
+  readonly foundMs: number;
+  readonly lostShare: number;
+  readonly p99Ms: number;
+}
+
+async function measureFault(
+  policy: Policy,
+  fault: Fault,
+  seed: number,
+): Promise<GrayFigures> {
+  const world = await createWorld(policy, VMS, seed);
+  const results = startCallers(world, seed, WARM_MS + FAULT_MS);
+  await world.fleet.time.advance(WARM_MS);
+  const [faulty] = world.servers;
+  if (faulty === undefined) throw new Error("there is no server");
+  faulty.fault = fault;
+  const faultAt = world.fleet.time.now;
+  await world.fleet.time.advance(FAULT_MS + 2_100);
+  const after = results.flat().filter((result) => result.sentAt >= faultAt);
+  const lost = after.filter((result) =>
+    result.outcome !== CallerOutcome.Answered
+  );
+  const latencies = new LatencyRecorder();
+  for (const { sentAt, endedAt } of after) latencies.add(endedAt - sentAt);
+  return {
+    foundMs: getFoundMs(faulty.arrivals, faultAt),
+    lostShare: lost.length / after.length,
+    p99Ms: latencies.getPercentile(99),
+  };
+}
+
+/** Time after which the server gets no more than a trickle. */
+function getFoundMs(arrivals: readonly number[], faultAt: number): number {
+  const fair = RATE_PER_SECOND / SERVERS * WINDOW_MS / 1_000;
+  const times = arrivals.filter((at) => at >= faultAt);
+  for (const [index, at] of times.entries()) {
+    const next = times.slice(index + 1)
+      .filter((other) => other <= at + WINDOW_MS).length;
+    if (next <= fair * FOUND_SHARE && at < faultAt + FAULT_MS - WINDOW_MS) {
+      return at - faultAt;
+    }
+  }
+  return Infinity;
+}
+
+async function countFalseEjections(): Promise<number> {
+  const world = await createWorld(Policy.Current, HEALTHY_VMS, 7);
+  startCallers(world, 7, HEALTHY_HOUR_MS);
+  const ejected = new Set<string>();
+  for (let at = 0; at < HEALTHY_HOUR_MS; at += 500) {
+    await world.fleet.time.advance(500);
+    for (const name of world.fleet.names) {
+      const report = world.fleet.find(name, ServiceName.Detector).getReport();
+      for (const { server, standing } of report) {
+        if (standing === ServerStanding.Ejected) {
+          ejected.add(`${name} ${server} ${Math.floor(at / 2_000)}`);
+        }
+      }
+    }
+  }
+  return ejected.size;
+}
+
+/** Prints detection times, lost requests and p99 for each fault and policy. */
+export async function runGrayBench(): Promise<void> {
+  const rows = [[
+    "fault",
+    "policy",
+    "found ms (each seed)",
+    "not answered",
+    "p99 ms",
+  ]];
+  for (const fault of [Fault.Dead, Fault.Slow, Fault.Errors, Fault.Hang]) {
+    for (const policy of Object.values(Policy)) {
+      const figures: GrayFigures[] = [];
+      for (const seed of SEEDS) {
+        figures.push(await measureFault(policy, fault, seed));
+      }
+      rows.push([
+        fault,
+        policy,
+        figures.map(({ foundMs }) =>
+          foundMs === Infinity ? "not found" : foundMs.toFixed(0)
+        ).join(", "),
+        formatMean(figures.map(({ lostShare }) => lostShare * 100), "%"),
+        formatMean(figures.map(({ p99Ms }) => p99Ms), ""),
+      ]);
+    }
+  }
+  printLine(
+    `${VMS} VMs, ${SERVERS} servers, ${RATE_PER_SECOND} requests a second`,
+  );
+  printTable(rows);
+  if (process.argv.includes("--healthy")) {
+    const count = await countFalseEjections();
+    printLine(`false ejections in one healthy hour: ${count}`);
+  }
+}
+
+function formatMean(values: readonly number[], unit: string): string {
+  const mean = values.reduce((sum, value) => sum + value, 0) / values.length;
+  return mean.toFixed(1) + unit;
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,8 +1,10 @@
 /** Runs a measurement by name: `npm run bench -- path`. */
 import process from "node:process";
+import { runGrayBench } from "./gray.ts";
 import { runPathBench } from "./path.ts";
 
 const BENCHES: Readonly<Record<string, () => Promise<void>>> = {
+  gray: runGrayBench,
   path: runPathBench,
 };
 
--- /dev/null
+++ b/bench/virtual_load.ts
@@ -0,0 +1,112 @@
+/** Callers of a fleet in virtual time. */
+import type { RequestHead } from "../src/model/mod.ts";
+import { AdmissionKind } from "../src/services/admission/mod.ts";
+import type { CallerExchange } from "../src/services/caller_front/exchange.ts";
+import { ServiceName } from "../src/services/catalog.ts";
+import { GrantKind } from "../src/services/shares/mod.ts";
+import type { Random } from "../src/services/random/mod.ts";
+import type { VirtualFleet } from "../tests/virtual_fleet.ts";
+
+/** How one request ended, as its caller saw it. */
+export enum CallerOutcome {
+  Answered = "answered",
+  ServerError = "server_error",
+  Refused = "refused",
+  OverRate = "over_rate",
+}
+
+/** One request that ended. */
+export interface CallerResult {
+  readonly outcome: CallerOutcome;
+  /** Virtual times in milliseconds. */
+  readonly sentAt: number;
+  readonly endedAt: number;
+}
+
+/** Options of {@linkcode runLoad}. */
+export interface LoadOptions {
+  /** Requests a second. */
+  readonly ratePerSecond: number;
+  /** Time over which they are sent, in milliseconds. */
+  readonly durationMs: number;
+  readonly head: RequestHead;
+  readonly random: Random;
+  /** Picks the VM of the next request. */
+  readonly pickVm: () => string;
+}
+
+/**
+ * Sends requests at random times, whether or not earlier ones have ended.
+ *
+ * Time must be advanced by somebody else; the results fill up meanwhile.
+ */
+export function startLoad(
+  fleet: VirtualFleet,
+  options: LoadOptions,
+): CallerResult[] {
+  const results: CallerResult[] = [];
+  const endAt = fleet.time.now + options.durationMs;
+  const sendNext = (): void => {
+    if (fleet.time.now >= endAt) return;
+    void sendOne(fleet, options.pickVm(), options.head)
+      .then((result) => void results.push(result));
+    const gapMs = -Math.log(1 - options.random()) * 1_000 /
+      options.ratePerSecond;
+    fleet.time.startTimer(gapMs, sendNext);
+  };
+  sendNext();
+  return results;
+}
+
+/** Sends one request through one VM's admission, shares and forwarding. */
+export async function sendOne(
+  fleet: VirtualFleet,
+  vm: string,
+  head: RequestHead,
+): Promise<CallerResult> {
+  const sentAt = fleet.time.now;
+  const outcome = await runRequest(fleet, vm, head);
+  return { outcome, sentAt, endedAt: fleet.time.now };
+}
+
+async function runRequest(
+  fleet: VirtualFleet,
+  vm: string,
+  head: RequestHead,
+): Promise<CallerOutcome> {
+  const decision = fleet.find(vm, ServiceName.Admission).admit(head);
+  if (decision.kind === AdmissionKind.Refused) return CallerOutcome.Refused;
+  const { plan } = decision;
+  if (plan.team !== undefined) {
+    const shares = fleet.find(vm, ServiceName.Shares);
+    const grant = await shares.take(plan.team, plan.preset);
+    if (grant.kind !== GrantKind.Granted) return CallerOutcome.OverRate;
+  }
+  let status = 0;
+  const exchange = createExchange(head, (given) => status = given);
+  await fleet.find(vm, ServiceName.Forwarding).serve(plan, exchange);
+  if (status === 0) return CallerOutcome.Refused;
+  return status < 500 ? CallerOutcome.Answered : CallerOutcome.ServerError;
+}
+
+function createExchange(
+  head: RequestHead,
+  recordStatus: (status: number) => void,
+): CallerExchange {
+  return {
+    peer: "caller",
+    head,
+    body: {
+      length: 0,
+      read: () => {
+        throw new Error("the request has no body");
+      },
+    },
+    signal: new AbortController().signal,
+    isAnswered: false,
+    sendWhole: (answer) => Promise.resolve(recordStatus(answer.status)),
+    sendStreamed: (answer) => Promise.resolve(recordStatus(answer.status)),
+    sendRefusal: () => Promise.resolve(),
+    sendValue: () => Promise.resolve(),
+  };
+}
--- /dev/null
+++ b/bench/virtual_server.ts
@@ -0,0 +1,134 @@
+/** A backend server in virtual time, with slots, a queue and gray modes. */
+import { FailureKind, OutcomeKind, Step } from "../src/model/mod.ts";
+import type { AttemptOutcome } from "../src/model/mod.ts";
+import type {
+  Attempt,
+  UpstreamAnswer,
+} from "../src/services/forwarding/upstream.ts";
+import type { Random } from "../src/services/random/mod.ts";
+import type { VirtualTime } from "../standins/virtual_clock.ts";
+
+/** How the server behaves. */
+export enum Fault {
+  None = "none",
+  /** Connections are refused. */
+  Dead = "dead",
+  /** Work takes ten times as long. */
+  Slow = "10x slow",
+  /** One answer in five is an error. */
+  Errors = "20% errors",
+  /** Requests are taken and never answered. */
+  Hang = "hang",
+}
+
+const LINK_MS = 1.2;
+const CONNECT_MS = 1;
+const SLOTS = 4;
+const MEDIAN_MS = 8;
+const SIGMA = 0.7;
+const TAIL_SHARE = 0.01;
+const TAIL_FACTOR = 8;
+const SLOW_FACTOR = 10;
+const ERROR_SHARE = 0.2;
+const OK = 200;
+const ERROR = 500;
+
+/** One server; all VMs of the fleet send to the same one. */
+export class VirtualServer {
+  fault = Fault.None;
+  /** Virtual times at which requests arrived. */
+  readonly arrivals: number[] = [];
+  /** Requests that were run. */
+  runCount = 0;
+  readonly #time: VirtualTime;
+  readonly #random: Random;
+  readonly #waiting: (() => void)[] = [];
+  #running = 0;
+
+  /** Creates a healthy server. */
+  constructor(time: VirtualTime, random: Random) {
+    this.#time = time;
+    this.#random = random;
+  }
+
+  /** Serves one attempt as the upstream client would report it. */
+  async send(attempt: Attempt): Promise<AttemptOutcome<UpstreamAnswer>> {
+    const peer = attempt.server.id;
+    this.arrivals.push(this.#time.now);
+    if (!attempt.mayReuseConnection) await this.#sleep(CONNECT_MS);
+    await this.#sleep(LINK_MS);
+    if (this.fault === Fault.Dead) {
+      await this.#sleep(LINK_MS);
+      const kind = FailureKind.ConnectionRefused;
+      const failure = { kind, step: Step.Connect, peer };
+      return { kind: OutcomeKind.NotRun, failure };
+    }
+    const isAnswered = await Promise.race([
+      this.#run().then(() => true),
+      waitForAbort(attempt.signal).then(() => false),
+    ]);
+    if (!isAnswered) {
+      const kind = FailureKind.Cancelled;
+      const failure = { kind, step: Step.FirstByte, peer };
+      return { kind: OutcomeKind.MayHaveRun, failure };
+    }
+    await this.#sleep(LINK_MS);
+    return {
+      kind: OutcomeKind.Answered,
+      server: peer,
+      answer: this.#createAnswer(attempt),
+    };
+  }
+
+  async #run(): Promise<void> {
+    if (this.#running >= SLOTS) {
+      await new Promise<void>((resolve) => this.#waiting.push(resolve));
+    } else this.#running += 1;
+    this.runCount += 1;
+    if (this.fault === Fault.Hang) await new Promise(() => {});
+    await this.#sleep(this.#takeWorkMs());
+    const next = this.#waiting.shift();
+    if (next === undefined) this.#running -= 1;
+    else next();
+  }
+
+  /** Draws a heavy-tailed time of work. */
+  #takeWorkMs(): number {
+    const radius = Math.sqrt(-2 * Math.log(1 - this.#random()));
+    const normal = radius * Math.cos(2 * Math.PI * this.#random());
+    const tail = this.#random() < TAIL_SHARE ? TAIL_FACTOR : 1;
+    const slow = this.fault === Fault.Slow ? SLOW_FACTOR : 1;
+    return MEDIAN_MS * Math.exp(SIGMA * normal) * tail * slow;
+  }
+
+  #createAnswer(attempt: Attempt): UpstreamAnswer {
+    const isError = this.fault === Fault.Errors &&
+      this.#random() < ERROR_SHARE;
+    return {
+      status: isError ? ERROR : OK,
+      headers: [],
+      attempt: attempt.id,
+      isNotRun: false,
+      isDraining: false,
+      load: { running: this.#running, waiting: this.#waiting.length },
+      hasBody: false,
+      readBody: () => {
+        throw new Error("the answer has no body");
+      },
+      cancel: () => {},
+    };
+  }
+
+  #sleep(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#time.startTimer(ms, () => resolve());
+    });
+  }
+}
+
+function waitForAbort(signal: AbortSignal): Promise<void> {
+  if (signal.aborted) return Promise.resolve();
+  return new Promise((resolve) => {
+    signal.addEventListener("abort", () => resolve(), { once: true });
+  });
+}
--- a/src/daemon/wiring/request_path.ts
+++ b/src/daemon/wiring/request_path.ts
@@ -7,6 +7,7 @@
 import type { Services } from "../../services/catalog.ts";
 import { createHttpUpstreamClient } from "../../protocols/http/upstream_client.ts";
 import { Admission } from "../../services/admission/mod.ts";
+import { Detector } from "../../services/detector/mod.ts";
 import { Dispatch } from "../../services/dispatch/mod.ts";
 import { Forwarding } from "../../services/forwarding/mod.ts";
 import { Selection } from "../../services/selection/mod.ts";
@@ -27,12 +28,43 @@
         freshness: find(ServiceName.Freshness),
       }),
   }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.Detector,
+    needs: [
+      ServiceName.Clock,
+      ServiceName.Configuration,
+      ServiceName.Membership,
+      ServiceName.Random,
+      ServiceName.UpstreamClient,
+      ServiceName.Logging,
+    ],
+    create: (find, scope) => {
+      const upstream = find(ServiceName.UpstreamClient);
+      const detector = new Detector({
+        clock: find(ServiceName.Clock),
+        configuration: find(ServiceName.Configuration),
+        membership: find(ServiceName.Membership),
+        random: find(ServiceName.Random),
+        probe: (server) => upstream.probe(server),
+        logger: find(ServiceName.Logging).createLogger("detector"),
+      });
+      scope.addStart(() => scope.runTask((signal) => detector.run(signal)));
+      return detector;
+    },
+  }));
   kernel.add(createServiceDefinition({
     name: ServiceName.Selection,
-    needs: [ServiceName.Configuration, ServiceName.Random],
+    needs: [
+      ServiceName.Clock,
+      ServiceName.Configuration,
+      ServiceName.Detector,
+      ServiceName.Random,
+    ],
     create: (find) =>
       new Selection({
         configuration: find(ServiceName.Configuration),
+        clock: find(ServiceName.Clock),
+        detector: find(ServiceName.Detector),
         random: find(ServiceName.Random),
       }),
   }));
@@ -57,6 +89,7 @@
       ServiceName.Clock,
       ServiceName.Admission,
       ServiceName.Selection,
+      ServiceName.Detector,
       ServiceName.Dispatch,
       ServiceName.UpstreamClient,
       ServiceName.Metrics,
@@ -67,6 +100,7 @@
         clock: find(ServiceName.Clock),
         admission: find(ServiceName.Admission),
         selection: find(ServiceName.Selection),
+        detector: find(ServiceName.Detector),
         dispatch: find(ServiceName.Dispatch),
         upstream: find(ServiceName.UpstreamClient),
         metrics: find(ServiceName.Metrics),
--- a/src/protocols/http/upstream_client.ts
+++ b/src/protocols/http/upstream_client.ts
@@ -1,5 +1,6 @@
 /** Backend servers over HTTP/1.1, by Node's client. */
 import http from "node:http";
+import net from "node:net";
 import type { Socket } from "node:net";
 import {
   CONNECT_TIMEOUT_MS,
@@ -7,7 +8,12 @@
   UPSTREAM_IDLE_MS,
 } from "../../constants.ts";
 import { FailureKind, OutcomeKind, Step } from "../../model/mod.ts";
-import type { AttemptOutcome, HeaderField, ServerId } from "../../model/mod.ts";
+import type {
+  AttemptOutcome,
+  HeaderField,
+  Server,
+  ServerId,
+} from "../../model/mod.ts";
 import { BodyError } from "../../services/forwarding/upstream.ts";
 import type {
   Attempt,
@@ -52,6 +58,7 @@
   const agents = new Map<ServerId, ServerAgents>();
   return {
     send: (attempt) => sendAttempt(attempt, getAgents(agents, attempt)),
+    probe: probeServer,
     close: () => {
       for (const { kept, fresh } of agents.values()) {
         kept.destroy();
@@ -61,6 +68,20 @@
   };
 }
 
+function probeServer(server: Server): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = net.connect(server.port, server.host);
+    socket.setTimeout(CONNECT_TIMEOUT_MS);
+    socket.once("connect", () => stop(true));
+    socket.once("error", () => stop(false));
+    socket.once("timeout", () => stop(false));
+    function stop(isOpen: boolean): void {
+      socket.destroy();
+      resolve(isOpen);
+    }
+  });
+}
+
 function getAgents(
   agents: Map<ServerId, ServerAgents>,
   attempt: Attempt,
--- a/src/protocols/peer/message_codec.ts
+++ b/src/protocols/peer/message_codec.ts
@@ -73,16 +73,10 @@
     transfer: count,
     isTaken: z.boolean(),
   }),
-  z.object({
-    kind: z.literal(PeerMessageKind.Evidence),
-    servers: z.array(z.object({
-      server: name,
-      successes: count,
-      failures: count,
-      slow: count,
-      isDraining: z.boolean(),
-    })),
-  }),
+]);
+const evidenceSchema = z.tuple([
+  z.literal(PeerMessageKind.Evidence),
+  z.array(z.tuple([name, count, count, count, z.boolean()])),
 ]);
 const loanRequestSchema = z.tuple([
   z.literal(PeerMessageKind.LoanRequest),
@@ -155,10 +149,20 @@
       return [message.kind, message.id, message.team, message.tokens];
     case PeerMessageKind.LoanAnswer:
       return [message.kind, message.id, message.tokens, message.lifetimeMs];
+    case PeerMessageKind.Evidence:
+      return [
+        message.kind,
+        message.servers.map((seen) => [
+          seen.server,
+          seen.successes,
+          seen.failures,
+          seen.slow,
+          seen.isDraining,
+        ]),
+      ];
     case PeerMessageKind.EntriesWanted:
     case PeerMessageKind.SeatOffer:
     case PeerMessageKind.SeatAnswer:
-    case PeerMessageKind.Evidence:
       return message;
   }
 }
@@ -194,6 +198,17 @@
       return decodeEntries(value);
     case PeerMessageKind.Snapshot:
       return decodeSnapshot(value);
+    case PeerMessageKind.Evidence: {
+      const parsed = evidenceSchema.safeParse(value);
+      if (!parsed.success) return undefined;
+      const [kind, servers] = parsed.data;
+      return {
+        kind,
+        servers: servers.map((
+          [server, successes, failures, slow, isDraining],
+        ) => ({ server, successes, failures, slow, isDraining })),
+      };
+    }
     case PeerMessageKind.LoanRequest: {
       const parsed = loanRequestSchema.safeParse(value);
       if (!parsed.success) return undefined;
--- a/src/services/catalog.ts
+++ b/src/services/catalog.ts
@@ -8,6 +8,7 @@
 import type { CallerServer } from "./caller_front/exchange.ts";
 import type { Clock } from "./clock/mod.ts";
 import type { Configuration } from "./configuration/mod.ts";
+import type { Detector } from "./detector/mod.ts";
 import type { Dispatch } from "./dispatch/mod.ts";
 import type { Forwarding } from "./forwarding/mod.ts";
 import type { UpstreamClient } from "./forwarding/upstream.ts";
@@ -52,6 +53,7 @@
   PlannedStop = "planned_stop",
   LogReader = "log_reader",
   Admission = "admission",
+  Detector = "detector",
   Selection = "selection",
   Dispatch = "dispatch",
   UpstreamClient = "upstream_client",
@@ -84,6 +86,7 @@
   [ServiceName.PlannedStop]: PlannedStop;
   [ServiceName.LogReader]: LogReader;
   [ServiceName.Admission]: Admission;
+  [ServiceName.Detector]: Detector;
   [ServiceName.Selection]: Selection;
   [ServiceName.Dispatch]: Dispatch;
   [ServiceName.UpstreamClient]: UpstreamClient;
--- a/src/services/configuration/state.ts
+++ b/src/services/configuration/state.ts
@@ -76,6 +76,8 @@
   /** Newest offsets that are already in what was loaded from snapshots. */
   readonly loadedOffsets = { fleet: 0, cell: 0 };
   readonly routeTable = new RouteTable();
+  /** Floors that were computed; forgotten when a route changes. */
+  readonly #floors = new Map<ServiceId, number>();
   readonly #serversOfService = new Map<ServiceId, Map<ServerId, Server>>();
 
   /** Sets a backend server and keeps the index by service. */
@@ -98,6 +100,7 @@
   /** Sets a route and keeps the index by path. */
   setRoute(route: Route): void {
     this.removeRoute(route.id);
+    this.#floors.delete(route.service);
     this.routes.set(route.id, route);
     this.routeTable.set(route);
   }
@@ -107,6 +110,7 @@
     const route = this.routes.get(id);
     if (route === undefined) return;
     this.routes.delete(id);
+    this.#floors.delete(route.service);
     this.routeTable.remove(route);
   }
 
@@ -115,6 +119,18 @@
     return [...(this.#serversOfService.get(service)?.values() ?? [])];
   }
 
+  /** Gets the greatest floor that a route to a service asks for, 0 to 1. */
+  getFloor(service: ServiceId): number {
+    const known = this.#floors.get(service);
+    if (known !== undefined) return known;
+    let floor = 0;
+    for (const route of this.routes.values()) {
+      if (route.service === service) floor = Math.max(floor, route.floor);
+    }
+    this.#floors.set(service, floor);
+    return floor;
+  }
+
   /** Gets the preset in force. */
   getPreset(): Preset {
     const preset = this.presets.get(this.presetInForce.name);
--- /dev/null
+++ b/src/services/detector/detector_test.ts
@@ -0,0 +1,105 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { ServerPhase } from "../../model/mod.ts";
+import type { Server } from "../../model/mod.ts";
+import { EjectionReason, Ejections } from "./ejections.ts";
+import type { FloorView } from "./ejections.ts";
+import { SequentialTest } from "./sequential_test.ts";
+
+const HYPOTHESES = { healthy: 0.01, faulty: 0.3 };
+
+function createServer(index: number, slots: number): Server {
+  return {
+    id: `server-${index}`,
+    service: "rota",
+    host: "127.0.0.1",
+    port: 1,
+    failureDomain: "domain-1",
+    slots,
+    phase: ServerPhase.Active,
+    revision: 1,
+  };
+}
+
+function eject(ejections: Ejections, view: FloorView, order: Order): boolean {
+  return ejections.eject({
+    server: `server-${order.index}`,
+    reason: EjectionReason.Failures,
+    score: order.score,
+    trialAt: 0,
+    trialsLeft: 1,
+    trialIntervalMs: 1,
+    triedAt: 0,
+  }, view);
+}
+
+interface Order {
+  readonly index: number;
+  readonly score: number;
+}
+
+const orders = fc.array(
+  fc.record({
+    index: fc.nat(9),
+    score: fc.double({ min: 0, max: 100, noNaN: true }),
+  }),
+  { maxLength: 40 },
+);
+
+test("whatever fails, ejection leaves the floor", () => {
+  fc.assert(fc.property(
+    fc.array(fc.integer({ min: 1, max: 8 }), { minLength: 1, maxLength: 10 }),
+    fc.double({ min: 0, max: 1, noNaN: true }),
+    orders,
+    (slots, floor, given) => {
+      const servers = slots.map((count, index) => createServer(index, count));
+      const ejections = new Ejections();
+      for (const order of given) {
+        if (order.index < servers.length) {
+          eject(ejections, { servers, floor }, order);
+        }
+        assert.ok(ejections.getFloorLeft({ servers, floor }) >= 0);
+      }
+    },
+  ));
+});
+
+test("a server that goes takes its ejection with it, and the floor holds", () => {
+  const servers = [0, 1, 2, 3].map((index) => createServer(index, 4));
+  const ejections = new Ejections();
+  eject(ejections, { servers, floor: 0.5 }, { index: 0, score: 5 });
+  eject(ejections, { servers, floor: 0.5 }, { index: 1, score: 9 });
+  const fewer = { servers: servers.slice(0, 3), floor: 0.5 };
+  ejections.removeExcess(fewer);
+  assert.ok(ejections.getFloorLeft(fewer) >= 0);
+  assert.equal(ejections.find("server-0"), undefined);
+  assert.notEqual(ejections.find("server-1"), undefined);
+});
+
+test("when the floor binds, the worst servers are the ejected ones", () => {
+  const servers = [0, 1, 2, 3].map((index) => createServer(index, 4));
+  const view = { servers, floor: 0.75 };
+  const ejections = new Ejections();
+  assert.equal(eject(ejections, view, { index: 0, score: 5 }), true);
+  assert.equal(eject(ejections, view, { index: 1, score: 4 }), false);
+  assert.equal(eject(ejections, view, { index: 2, score: 9 }), true);
+  assert.deepEqual(ejections.list().map(({ server }) => server), ["server-2"]);
+});
+
+test("bad outcomes raise the score, good ones forgive them", () => {
+  const sequential = new SequentialTest();
+  sequential.add("vm-1", { good: 0, bad: 3 }, HYPOTHESES);
+  const score = sequential.score;
+  assert.ok(score > 9);
+  sequential.add("vm-1", { good: 100, bad: 0 }, HYPOTHESES);
+  assert.equal(sequential.score, 0);
+});
+
+test("the score tells how much of it one VM alone has seen", () => {
+  const sequential = new SequentialTest();
+  sequential.add("vm-1", { good: 0, bad: 4 }, HYPOTHESES);
+  assert.equal(sequential.getGreatestPart(), sequential.score);
+  sequential.add("vm-2", { good: 0, bad: 1 }, HYPOTHESES);
+  assert.ok(sequential.getGreatestPart() < sequential.score);
+});
--- /dev/null
+++ b/src/services/detector/mod.ts
@@ -0,0 +1,471 @@
+/** Detector service: finds backend servers that fail gray. */
+import { ServerPhase } from "../../model/mod.ts";
+import type { Server, ServerId, ServiceId } from "../../model/mod.ts";
+import type { Clock } from "../clock/mod.ts";
+import type { Configuration } from "../configuration/mod.ts";
+import { computeHash, listRanked } from "../hashing/mod.ts";
+import type { Logger } from "../logging/mod.ts";
+import type { Membership } from "../membership/mod.ts";
+import { PeerMessageKind } from "../membership/peer_message.ts";
+import type { Evidence, ServerEvidence } from "../membership/peer_message.ts";
+import type { Random } from "../random/mod.ts";
+import { Baseline } from "./baseline.ts";
+import { EjectionReason, Ejections, ServerStanding } from "./ejections.ts";
+import type { FloorView } from "./ejections.ts";
+import { SequentialTest } from "./sequential_test.ts";
+import type { EvidenceOrigin, Tally } from "./sequential_test.ts";
+
+export { EjectionReason, ServerStanding } from "./ejections.ts";
+
+/** What the service works with. */
+export interface DetectorParts {
+  readonly clock: Clock;
+  readonly configuration: Configuration;
+  readonly membership: Membership;
+  readonly random: Random;
+  /** Whether a server accepts a connection. */
+  readonly probe: (server: Server) => Promise<boolean>;
+  readonly logger: Logger;
+}
+
+/** What an attempt says of its server. */
+export enum AttemptVerdict {
+  Good = "good",
+  /** It refused the connection, which a server that runs hardly ever does. */
+  Refused = "refused",
+  /** It broke off, or answered with an error of its own. */
+  Failed = "failed",
+  /** It says nothing: shed by contract, or cancelled by the caller. */
+  Neutral = "neutral",
+}
+
+/** An attempt that is under way. */
+export interface WatchedAttempt {
+  readonly server: Server;
+  readonly startedAt: number;
+  /** Whether it was counted as slow already. */
+  isSlow: boolean;
+}
+
+/** State of one server, for dumps. */
+export interface DetectorReport {
+  readonly server: ServerId;
+  readonly standing: ServerStanding;
+  readonly failureScore: number;
+  readonly slowScore: number;
+  readonly reason: EjectionReason | undefined;
+  /** Slots of the service that may still be ejected. */
+  readonly floorLeft: number;
+}
+
+/** What is known of one server. */
+interface Watch {
+  readonly failures: SequentialTest;
+  readonly slowness: SequentialTest;
+  /** Ejections in a row, by which the time until a trial doubles. */
+  flaps: number;
+  admittedAt: number;
+  good: number;
+  failed: number;
+  slow: number;
+}
+
+/** Score at which a server is ejected. */
+const THRESHOLD = 13;
+/** Score from which a server is sent more requests, to decide sooner. */
+const SUSPECT_SCORE = 5;
+/** Part of the score that must come from other VMs than the greatest one. */
+const SHARED_RATIO = 0.25;
+const TICK_MS = 50;
+const DIGEST_MIN_MS = 100;
+const TRIAL_DELAY_MS = 2_000;
+const TRIAL_DELAY_MAX_MS = 60_000;
+/** Time between two trial requests of the whole cell at one server. */
+const TRIAL_INTERVAL_MS = 250;
+/** Failures that a refused connection counts for. */
+const REFUSED_WEIGHT = 2;
+/** VMs that check a refused connection by one of their own. */
+const PROBING_VMS = 3;
+const TRIALS_NEEDED = 5;
+/** Time without an ejection after which earlier ones are forgotten. */
+const FLAP_MEMORY_MS = 120_000;
+const OWN: EvidenceOrigin = "";
+
+/** Tests every server against its siblings. */
+export class Detector {
+  readonly #parts: DetectorParts;
+  readonly #watches = new Map<ServerId, Watch>();
+  readonly #baselines = new Map<ServiceId, Baseline>();
+  readonly #ejections = new Map<ServiceId, Ejections>();
+  readonly #underWay = new Set<WatchedAttempt>();
+  readonly #draining = new Map<ServerId, number>();
+  readonly #changed = new Set<ServerId>();
+  #digestAt = -Infinity;
+
+  /** Creates the service without any experience. */
+  constructor(parts: DetectorParts) {
+    this.#parts = parts;
+    parts.membership.setHandler(
+      PeerMessageKind.Evidence,
+      (message, peer) => this.#applyEvidence(message, peer.vm),
+    );
+  }
+
+  /** Watches attempts and shares evidence until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#parts.clock.sleep(TICK_MS, signal);
+      this.checkUnderWay();
+      this.sendEvidence();
+    }
+  }
+
+  /** Records that an attempt starts. */
+  recordStart(server: Server): WatchedAttempt {
+    const attempt = {
+      server,
+      startedAt: this.#parts.clock.now(),
+      isSlow: false,
+    };
+    this.#underWay.add(attempt);
+    const ejection = this.#getEjections(server.service).find(server.id);
+    if (ejection !== undefined) ejection.triedAt = attempt.startedAt;
+    return attempt;
+  }
+
+  /** Records how an attempt ended. */
+  recordEnd(attempt: WatchedAttempt, verdict: AttemptVerdict): void {
+    if (!this.#underWay.delete(attempt)) return;
+    const { server } = attempt;
+    switch (verdict) {
+      case AttemptVerdict.Neutral:
+        return;
+      case AttemptVerdict.Refused:
+        this.#addOwn(server, { good: 0, failed: REFUSED_WEIGHT, slow: 0 });
+        this.#recordTrial(server, false);
+        this.#digestAt = -Infinity;
+        this.sendEvidence();
+        return;
+      case AttemptVerdict.Failed:
+        this.#addOwn(server, { good: 0, failed: 1, slow: 0 });
+        this.#recordTrial(server, false);
+        return;
+      case AttemptVerdict.Good: {
+        const latencyMs = this.#parts.clock.now() - attempt.startedAt;
+        const baseline = this.#getBaseline(server.service);
+        baseline.addLatency(latencyMs);
+        const isSlow = latencyMs > baseline.slowLimitMs && !attempt.isSlow;
+        this.#addOwn(server, {
+          good: attempt.isSlow ? 0 : 1,
+          failed: 0,
+          slow: isSlow ? 1 : 0,
+        });
+        this.#recordTrial(server, !isSlow && !attempt.isSlow);
+      }
+    }
+  }
+
+  /** Records that a server said that it drains, or no longer says so. */
+  recordDraining(server: Server, isDraining: boolean): void {
+    if (!isDraining) {
+      this.#draining.delete(server.id);
+      return;
+    }
+    if (this.#draining.has(server.id)) return;
+    this.#draining.set(server.id, server.revision);
+    this.#changed.add(server.id);
+    this.#digestAt = -Infinity;
+    this.sendEvidence();
+  }
+
+  /** Whether a server must get no new work because it leaves. */
+  isDraining(server: Server): boolean {
+    if (server.phase === ServerPhase.Draining) return true;
+    return this.#draining.get(server.id) === server.revision;
+  }
+
+  /** Gets whether a server gets work now. */
+  getStanding(server: Server): ServerStanding {
+    const ejection = this.#getEjections(server.service).find(server.id);
+    if (ejection === undefined) return ServerStanding.Admitted;
+    const now = this.#parts.clock.now();
+    const isDue = now >= ejection.trialAt &&
+      now - ejection.triedAt >= ejection.trialIntervalMs;
+    return isDue ? ServerStanding.Trial : ServerStanding.Ejected;
+  }
+
+  /** Whether a server needs more outcomes soon, to be judged or forgiven. */
+  isSuspect(server: Server): boolean {
+    const { failures, slowness } = this.#getWatch(server.id);
+    return Math.max(failures.score, slowness.score) >= SUSPECT_SCORE;
+  }
+
+  /** Time in milliseconds since a server was admitted, or first seen. */
+  getAdmittedMs(server: Server): number {
+    return this.#parts.clock.now() - this.#getWatch(server.id).admittedAt;
+  }
+
+  /** Counts attempts as slow as soon as they are, not when they end. */
+  checkUnderWay(): void {
+    const now = this.#parts.clock.now();
+    for (const attempt of this.#underWay) {
+      if (attempt.isSlow) continue;
+      const { slowLimitMs } = this.#getBaseline(attempt.server.service);
+      if (now - attempt.startedAt <= slowLimitMs) continue;
+      attempt.isSlow = true;
+      this.#addOwn(attempt.server, { good: 0, failed: 0, slow: 1 });
+      this.#recordTrial(attempt.server, false);
+    }
+  }
+
+  /** Shares what was seen of suspicious servers with all peers. */
+  sendEvidence(): void {
+    const { clock, membership } = this.#parts;
+    const now = clock.now();
+    if (this.#changed.size === 0 || now - this.#digestAt < DIGEST_MIN_MS) {
+      return;
+    }
+    this.#digestAt = now;
+    const servers = [...this.#changed].map((id) => this.#takeEvidence(id));
+    this.#changed.clear();
+    for (const peer of membership.listReached()) {
+      membership.send(peer, { kind: PeerMessageKind.Evidence, servers });
+    }
+  }
+
+  /** Lists every server as this VM judges it. */
+  getReport(): DetectorReport[] {
+    const { servers } = this.#parts.configuration.state;
+    return [...servers.values()].map((server) => {
+      const ejections = this.#getEjections(server.service);
+      const watch = this.#getWatch(server.id);
+      return {
+        server: server.id,
+        standing: this.getStanding(server),
+        failureScore: watch.failures.score,
+        slowScore: watch.slowness.score,
+        reason: ejections.find(server.id)?.reason,
+        floorLeft: ejections.getFloorLeft(this.#getView(server.service)),
+      };
+    });
+  }
+
+  #takeEvidence(id: ServerId): ServerEvidence {
+    const watch = this.#getWatch(id);
+    const evidence = {
+      server: id,
+      successes: watch.good,
+      failures: watch.failed,
+      slow: watch.slow,
+      isDraining: this.#draining.has(id),
+    };
+    watch.good = 0;
+    watch.failed = 0;
+    watch.slow = 0;
+    return evidence;
+  }
+
+  /**
+   * Adds what this VM saw itself, and notes it for the peers.
+   *
+   * Good outcomes before any suspicion are left out: added late, they would
+   * speak against a fault that came after them.
+   */
+  #addOwn(server: Server, seen: Seen): void {
+    const watch = this.#getWatch(server.id);
+    const isSuspected = watch.failures.score + watch.slowness.score > 0;
+    const isBad = seen.failed + seen.slow > 0;
+    if (isSuspected || isBad) {
+      watch.good += seen.good;
+      watch.failed += seen.failed;
+      watch.slow += seen.slow;
+      if (isBad || seen.good > 0) this.#changed.add(server.id);
+    }
+    this.#addSeen(server, OWN, seen);
+  }
+
+  #applyEvidence(message: Evidence, origin: EvidenceOrigin): void {
+    const { servers } = this.#parts.configuration.state;
+    for (const evidence of message.servers) {
+      const server = servers.get(evidence.server);
+      if (server === undefined) continue;
+      if (evidence.isDraining) {
+        this.#draining.set(server.id, server.revision);
+      }
+      this.#addSeen(server, origin, {
+        good: evidence.successes,
+        failed: evidence.failures,
+        slow: evidence.slow,
+      });
+      for (let good = 0; good < evidence.successes; good += 1) {
+        this.#recordTrial(server, true);
+      }
+      if (evidence.failures >= REFUSED_WEIGHT) this.#probeIfChosen(server);
+    }
+  }
+
+  /**
+   * Checks by a connection of its own what one peer says, if this VM is among
+   * the few that do: the peer's link alone may be bad.
+   */
+  #probeIfChosen(server: Server): void {
+    const { membership, probe } = this.#parts;
+    if (this.getStanding(server) !== ServerStanding.Admitted) return;
+    const names = membership.listReached().map((peer) => peer.vm);
+    const ranked = listRanked(
+      [...names, membership.self.vm],
+      (vm) => computeHash(`${vm} probe ${server.id}`),
+    );
+    if (ranked.indexOf(membership.self.vm) >= PROBING_VMS) return;
+    void probe(server).then((isOpen) => {
+      if (isOpen) return;
+      this.recordEnd(this.recordStart(server), AttemptVerdict.Refused);
+    });
+  }
+
+  #countVms(): number {
+    return this.#parts.membership.listReached().length + 1;
+  }
+
+  #addSeen(server: Server, origin: EvidenceOrigin, seen: Seen): void {
+    const now = this.#parts.clock.now();
+    const watch = this.#getWatch(server.id);
+    const baseline = this.#getBaseline(server.service);
+    const total = seen.good + seen.failed + seen.slow;
+    const failures: Tally = { good: total - seen.failed, bad: seen.failed };
+    const slowness: Tally = { good: total - seen.slow, bad: seen.slow };
+    watch.failures.add(
+      origin,
+      failures,
+      baseline.getFailureHypotheses(server.id, now),
+    );
+    watch.slowness.add(
+      origin,
+      slowness,
+      baseline.getSlowHypotheses(server.id, now),
+    );
+    const outcomes = { total, failed: seen.failed, slow: seen.slow };
+    baseline.add(server.id, outcomes, now);
+    this.#judge(server, watch);
+  }
+
+  #judge(server: Server, watch: Watch): void {
+    const { failures, slowness } = watch;
+    if (isOverThreshold(failures)) {
+      this.#eject(server, EjectionReason.Failures, failures.score);
+    } else if (isOverThreshold(slowness)) {
+      this.#eject(server, EjectionReason.Slowness, slowness.score);
+    }
+  }
+
+  #eject(server: Server, reason: EjectionReason, score: number): void {
+    const { clock, logger, random } = this.#parts;
+    const now = clock.now();
+    const watch = this.#getWatch(server.id);
+    const ejections = this.#getEjections(server.service);
+    const wasEjected = ejections.find(server.id) !== undefined;
+    if (now - watch.admittedAt > FLAP_MEMORY_MS) watch.flaps = 0;
+    const delayMs = Math.min(
+      TRIAL_DELAY_MAX_MS,
+      TRIAL_DELAY_MS * 2 ** watch.flaps,
+    );
+    const isEjected = ejections.eject({
+      server: server.id,
+      reason,
+      score,
+      trialAt: now + delayMs,
+      trialsLeft: TRIALS_NEEDED,
+      trialIntervalMs: TRIAL_INTERVAL_MS * this.#countVms(),
+      triedAt: now - random() * TRIAL_INTERVAL_MS * this.#countVms(),
+    }, this.#getView(server.service));
+    if (!isEjected) return;
+    watch.failures.removeAll();
+    watch.slowness.removeAll();
+    watch.flaps += 1;
+    if (wasEjected) return;
+    logger.warn(
+      `ejected ${server.id} for ${reason}, score ${score.toFixed(1)}`,
+    );
+  }
+
+  /** Counts an attempt at an ejected server towards its return. */
+  #recordTrial(server: Server, isGood: boolean): void {
+    const ejections = this.#getEjections(server.service);
+    const ejection = ejections.find(server.id);
+    const now = this.#parts.clock.now();
+    if (ejection === undefined || now < ejection.trialAt) return;
+    this.#changed.add(server.id);
+    if (!isGood) {
+      this.#eject(server, ejection.reason, ejection.score);
+      return;
+    }
+    ejection.trialsLeft -= 1;
+    if (ejection.trialsLeft > 0) return;
+    ejections.remove(server.id);
+    const watch = this.#getWatch(server.id);
+    watch.admittedAt = now;
+    watch.failures.removeAll();
+    watch.slowness.removeAll();
+    this.#parts.logger.info(`admitted ${server.id} again`);
+  }
+
+  #getView(service: ServiceId): FloorView {
+    const { state } = this.#parts.configuration;
+    return {
+      servers: state.listServers(service)
+        .filter((server) => !this.isDraining(server)),
+      floor: state.getFloor(service),
+    };
+  }
+
+  #getWatch(server: ServerId): Watch {
+    const existing = this.#watches.get(server);
+    if (existing !== undefined) return existing;
+    const created = {
+      failures: new SequentialTest(),
+      slowness: new SequentialTest(),
+      flaps: 0,
+      admittedAt: this.#parts.clock.now(),
+      good: 0,
+      failed: 0,
+      slow: 0,
+    };
+    this.#watches.set(server, created);
+    return created;
+  }
+
+  #getBaseline(service: ServiceId): Baseline {
+    const existing = this.#baselines.get(service);
+    if (existing !== undefined) return existing;
+    const created = new Baseline();
+    this.#baselines.set(service, created);
+    return created;
+  }
+
+  #getEjections(service: ServiceId): Ejections {
+    const existing = this.#ejections.get(service);
+    if (existing !== undefined) return existing;
+    const created = new Ejections();
+    this.#ejections.set(service, created);
+    return created;
+  }
+}
+
+interface Seen {
+  readonly good: number;
+  readonly failed: number;
+  readonly slow: number;
+}
+
+/**
+ * Whether the evidence is enough to eject.
+ *
+ * Own evidence is enough by itself, since it may be this VM's link that is
+ * bad. That of one peer alone is not: then it may be the peer's link.
+ */
+function isOverThreshold(test: SequentialTest): boolean {
+  if (test.score < THRESHOLD) return false;
+  const greatest = test.getGreatestPart();
+  if (test.getPart(OWN) >= greatest) return true;
+  return test.score - greatest >= SHARED_RATIO * THRESHOLD;
+}
--- a/src/services/dispatch/mod.ts
+++ b/src/services/dispatch/mod.ts
@@ -51,6 +51,7 @@
 export class Dispatch {
   readonly #services = new Map<ServiceId, ServiceEntry>();
   readonly #servers = new Map<ServerId, PQueue>();
+  #count = 0;
 
   /** Sets how much work of a service runs at the same time; at least 1. */
   setServiceConcurrency(service: ServiceId, concurrency: number): void {
@@ -71,7 +72,12 @@
     this.#servers.delete(server);
   }
 
-  /** Runs `job` when it is the team's turn at the service. */
+  /**
+   * Runs `job` when it is the team's turn at the service.
+   *
+   * Work that waits is dropped when the request's signal aborts; work that
+   * runs is left to end by itself. Rejects with what `job` throws.
+   */
   async run<T>(
     request: DispatchRequest,
     job: () => Promise<T>,
@@ -80,21 +86,22 @@
     if (order.count(request.team) >= QUEUE_LIMIT_PER_TEAM) {
       return { kind: DispatchKind.QueueFull };
     }
-    let isStarted = false;
-    const runJob = (): Promise<T> => {
-      isStarted = true;
-      return job();
-    };
-    try {
-      const value = await queue.add(runJob, {
-        team: request.team,
-        signal: request.signal,
-      });
-      return { kind: DispatchKind.Ran, value };
-    } catch (error) {
-      if (isStarted) throw error;
-      return { kind: DispatchKind.Cancelled };
-    }
+    if (request.signal.aborted) return { kind: DispatchKind.Cancelled };
+    this.#count += 1;
+    const id = String(this.#count);
+    let cancel: () => void = () => {};
+    const cancelled = new Promise<DispatchResult<T>>((resolve) => {
+      cancel = () => {
+        order.remove(id);
+        resolve({ kind: DispatchKind.Cancelled });
+      };
+    });
+    request.signal.addEventListener("abort", cancel, { once: true });
+    const ran = queue.add(async (): Promise<DispatchResult<T>> => {
+      request.signal.removeEventListener("abort", cancel);
+      return { kind: DispatchKind.Ran, value: await job() };
+    }, { team: request.team, id });
+    return await Promise.race([ran, cancelled]);
   }
 
   /** Runs `job` when the backend server has room for it. */
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -13,6 +13,8 @@
 import type { Admission, RequestPlan } from "../admission/mod.ts";
 import type { CallerExchange } from "../caller_front/exchange.ts";
 import type { Clock } from "../clock/mod.ts";
+import { AttemptVerdict } from "../detector/mod.ts";
+import type { Detector } from "../detector/mod.ts";
 import { DispatchKind } from "../dispatch/mod.ts";
 import type { Dispatch } from "../dispatch/mod.ts";
 import { Counter } from "../metrics/mod.ts";
@@ -31,6 +33,7 @@
   readonly clock: Clock;
   readonly admission: Admission;
   readonly selection: Selection;
+  readonly detector: Detector;
   readonly dispatch: Dispatch;
   readonly upstream: UpstreamClient;
   readonly metrics: Metrics;
@@ -98,9 +101,12 @@
 
   async #serveJob(job: Job): Promise<Refusal | undefined> {
     const { plan, exchange, signal } = job;
-    const result = await this.#parts.dispatch.run(
+    const { dispatch, selection } = this.#parts;
+    const { service } = plan.route;
+    dispatch.setServiceConcurrency(service, selection.countSlots(service));
+    const result = await dispatch.run(
       {
-        service: plan.route.service,
+        service,
         team: plan.team?.id ?? "",
         signal,
       },
@@ -127,9 +133,10 @@
     const { plan, exchange } = job;
     let refusal = createRefusal(RefusalKind.ServerUnavailable, Step.Queue);
     let attempts = 0;
-    for (
-      const server of this.#parts.selection.selectServers(plan.route.service)
-    ) {
+    const { service, idempotency } = plan.route;
+    const candidates = this.#parts.selection
+      .selectServers(service, idempotency);
+    for (const server of candidates) {
       const withdrawn = this.#parts.admission.checkPlan(plan);
       if (withdrawn !== undefined) {
         refusal = { ...withdrawn, run: refusal.run };
@@ -165,28 +172,27 @@
   }
 
   async #runAttempt(job: Job, server: Server): Promise<AttemptResult> {
-    const { dispatch, selection, clock, metrics } = this.#parts;
+    const { dispatch, selection, detector, clock, metrics } = this.#parts;
     return await dispatch.runOnServer(server.id, async () => {
-      const startedAt = clock.now();
+      const watched = detector.recordStart(server);
       metrics.add(Counter.Attempts);
       selection.recordStart(server.id);
-      let answer: UpstreamAnswer | undefined;
-      try {
-        const attempt = this.#createAttempt(job, server);
-        const outcome = await this.#parts.upstream.send(attempt);
-        if (outcome.kind !== OutcomeKind.Answered) return outcome;
-        answer = outcome.answer;
-        return await checkAnswer(attempt, outcome.answer);
-      } finally {
-        selection.recordEnd(
-          server.id,
-          answer && {
-            latencyMs: clock.now() - startedAt,
-            isDraining: answer.isDraining,
-            load: answer.load,
-          },
-        );
-      }
+      const attempt = this.#createAttempt(job, server);
+      const outcome = await this.#parts.upstream.send(attempt);
+      const result = outcome.kind === OutcomeKind.Answered
+        ? await checkAnswer(attempt, outcome.answer)
+        : outcome;
+      const answer = outcome.kind === OutcomeKind.Answered
+        ? outcome.answer
+        : undefined;
+      const latencyMs = clock.now() - watched.startedAt;
+      selection.recordEnd(
+        server,
+        answer && { latencyMs, load: answer.load },
+      );
+      if (answer) detector.recordDraining(server, answer.isDraining);
+      detector.recordEnd(watched, getVerdict(result));
+      return result;
     });
   }
 
@@ -231,6 +237,40 @@
   }
 }
 
+const SERVER_ERROR_STATUS = 500;
+
+/** What the result of an attempt says of its server. */
+function getVerdict(result: AttemptResult): AttemptVerdict {
+  switch (result.kind) {
+    case OutcomeKind.Answered:
+      return result.accepted.answer.status >= SERVER_ERROR_STATUS
+        ? AttemptVerdict.Failed
+        : AttemptVerdict.Good;
+    case OutcomeKind.NotRun:
+    case OutcomeKind.MayHaveRun:
+      return getFailureVerdict(result.failure.kind);
+  }
+}
+
+/** What a failure says of the server at which it arose. */
+function getFailureVerdict(kind: FailureKind): AttemptVerdict {
+  switch (kind) {
+    case FailureKind.Cancelled:
+    case FailureKind.Shed:
+    case FailureKind.QueueFull:
+    case FailureKind.NoServer:
+      return AttemptVerdict.Neutral;
+    case FailureKind.ConnectionRefused:
+      return AttemptVerdict.Refused;
+    case FailureKind.ConnectionLost:
+    case FailureKind.TimedOut:
+    case FailureKind.Truncated:
+    case FailureKind.Crossed:
+    case FailureKind.InvalidAnswer:
+      return AttemptVerdict.Failed;
+  }
+}
+
 /** Decides whether a server's answer is one to this attempt, and whole. */
 async function checkAnswer(
   attempt: Attempt,
--- a/src/services/forwarding/upstream.ts
+++ b/src/services/forwarding/upstream.ts
@@ -70,6 +70,8 @@
 export interface UpstreamClient {
   /** Sends one attempt and resolves when the head of an answer is there. */
   send(attempt: Attempt): Promise<AttemptOutcome<UpstreamAnswer>>;
+  /** Whether a server accepts a connection, by opening one. */
+  probe(server: Server): Promise<boolean>;
   /** Closes connections that no attempt uses. */
   close(): void;
 }
--- a/src/services/operator_front/mod.ts
+++ b/src/services/operator_front/mod.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../clock/mod.ts";
 import type { Configuration } from "../configuration/mod.ts";
 import type { CallerFront } from "../caller_front/mod.ts";
+import type { Detector } from "../detector/mod.ts";
 import type { Dispatch } from "../dispatch/mod.ts";
 import type { Freshness } from "../freshness/mod.ts";
 import type { LogReader } from "../log_reader/mod.ts";
@@ -72,6 +73,7 @@
   readonly clock: Clock;
   readonly logReader: LogReader;
   readonly selection: Selection;
+  readonly detector: Detector;
   readonly dispatch: Dispatch;
   readonly callerFront: CallerFront;
   readonly metrics: Metrics;
@@ -160,6 +162,7 @@
       peerTraffic: this.#parts.transport.traffic,
       queues: dispatch.getReport(),
       servers: selection.getReport(),
+      detector: this.#parts.detector.getReport(),
       metrics: this.#parts.metrics.getReport(),
     };
   }
--- a/standins/memory_network.ts
+++ b/standins/memory_network.ts
@@ -142,10 +142,9 @@
       traffic.sentBytes += bytes;
       remote.#transport.traffic.receivedBytes += bytes;
     }
-    const sent = structuredClone(message);
     network.time.startTimer(network.options.latencyMs, () => {
       if (network.isCut(address, remote.#transport.address)) return;
-      remote.#transport.clock.runAwake(() => remote.#received.send(sent));
+      remote.#transport.clock.runAwake(() => remote.#received.send(message));
     });
   }
 
--- a/tests/cell_test.ts
+++ b/tests/cell_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { FRESHNESS_BOUND_MS, SEATS_PER_CELL } from "../src/constants.ts";
-import { KeyPhase, RecordKind } from "../src/model/mod.ts";
+import { KeyPhase, RecordKind, SnapshotScopeKind } from "../src/model/mod.ts";
 import { digestKey } from "../src/services/admission/mod.ts";
 import { ServiceName } from "../src/services/catalog.ts";
 import { FreshnessKind } from "../src/services/freshness/mod.ts";
@@ -215,8 +215,11 @@
   const snapshots = fleet.find("vm-01", ServiceName.Snapshots);
   const { cell } = fleet.find("vm-01", ServiceName.Configuration);
   const writing = Promise.all([
-    snapshots.writeSnapshot({ kind: "fleet" as never }),
-    snapshots.writeSnapshot({ kind: "cell" as never, cell: cell ?? "" }),
+    snapshots.writeSnapshot({ kind: SnapshotScopeKind.Fleet }),
+    snapshots.writeSnapshot({
+      kind: SnapshotScopeKind.Cell,
+      cell: cell ?? "",
+    }),
   ]);
   await fleet.time.advance(1_000);
   assert.deepEqual(await writing, [true, true]);
--- /dev/null
+++ b/tests/gray_test.ts
@@ -0,0 +1,167 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  Idempotency,
+  OutcomeKind,
+  RecordKind,
+  RouteAccess,
+  ServerPhase,
+  VerdictKind,
+} from "../src/model/mod.ts";
+import type { AttemptOutcome } from "../src/model/mod.ts";
+import { ServiceName } from "../src/services/catalog.ts";
+import {
+  AttemptVerdict,
+  ServerStanding,
+} from "../src/services/detector/mod.ts";
+import type {
+  Attempt,
+  UpstreamAnswer,
+} from "../src/services/forwarding/upstream.ts";
+import { listBasicChanges } from "./harness.ts";
+import { VirtualFleet } from "./virtual_fleet.ts";
+
+const DRAIN_BOUND_MS = 3_000;
+const SERVERS = 6;
+
+async function startFleet(): Promise<VirtualFleet> {
+  const fleet = new VirtualFleet({ size: 4, sendAttempt: answerAtOnce });
+  const ports = Array.from({ length: SERVERS }, (_server, index) => index + 1);
+  const route = {
+    access: RouteAccess.Open,
+    idempotency: Idempotency.Idempotent,
+  };
+  for (const change of listBasicChanges({ servers: ports, route })) {
+    fleet.publish(change);
+  }
+  await fleet.start();
+  return fleet;
+}
+
+function answerAtOnce(
+  attempt: Attempt,
+): Promise<AttemptOutcome<UpstreamAnswer>> {
+  return Promise.resolve({
+    kind: OutcomeKind.Answered,
+    server: attempt.server.id,
+    answer: {
+      status: 200,
+      headers: [],
+      attempt: attempt.id,
+      isNotRun: false,
+      isDraining: attempt.server.id === "rota-3",
+      load: undefined,
+      hasBody: false,
+      readBody: () => {
+        throw new Error("the answer has no body");
+      },
+      cancel: () => {},
+    },
+  });
+}
+
+/** Records outcomes of one server at one VM, a few milliseconds apart. */
+async function recordOutcomes(
+  fleet: VirtualFleet,
+  vm: string,
+  verdicts: readonly AttemptVerdict[],
+): Promise<void> {
+  const detector = fleet.find(vm, ServiceName.Detector);
+  const { state } = fleet.find(vm, ServiceName.Configuration);
+  const [server] = state.listServers("rota");
+  if (server === undefined) throw new Error("there is no server");
+  for (const verdict of verdicts) {
+    const attempt = detector.recordStart(server);
+    await fleet.time.advance(5);
+    detector.recordEnd(attempt, verdict);
+  }
+}
+
+function getStanding(fleet: VirtualFleet, vm: string): ServerStanding {
+  const { state } = fleet.find(vm, ServiceName.Configuration);
+  const [server] = state.listServers("rota");
+  if (server === undefined) throw new Error("there is no server");
+  return fleet.find(vm, ServiceName.Detector).getStanding(server);
+}
+
+const FAILED = AttemptVerdict.Failed;
+
+test("a fault that several VMs see is found by all on few requests", async () => {
+  const fleet = await startFleet();
+  for (const vm of ["vm-01", "vm-02", "vm-03"]) {
+    await recordOutcomes(fleet, vm, [FAILED]);
+  }
+  await fleet.time.advance(500);
+  for (const vm of fleet.names) {
+    assert.equal(getStanding(fleet, vm), ServerStanding.Ejected, vm);
+  }
+});
+
+test("a fault that one VM alone sees is ejected by that VM alone", async () => {
+  const fleet = await startFleet();
+  await recordOutcomes(fleet, "vm-02", [FAILED, FAILED, FAILED, FAILED]);
+  await fleet.time.advance(500);
+  assert.equal(getStanding(fleet, "vm-02"), ServerStanding.Ejected);
+  for (const vm of ["vm-01", "vm-03", "vm-04"]) {
+    assert.equal(getStanding(fleet, vm), ServerStanding.Admitted, vm);
+  }
+});
+
+test("a server that works again is admitted after a trial", async () => {
+  const fleet = await startFleet();
+  await recordOutcomes(fleet, "vm-01", [FAILED, FAILED, FAILED, FAILED]);
+  assert.equal(getStanding(fleet, "vm-01"), ServerStanding.Ejected);
+  await fleet.time.advance(5_000);
+  assert.equal(getStanding(fleet, "vm-01"), ServerStanding.Trial);
+  const good = Array.from({ length: 5 }, () => AttemptVerdict.Good);
+  await recordOutcomes(fleet, "vm-01", good);
+  assert.equal(getStanding(fleet, "vm-01"), ServerStanding.Admitted);
+});
+
+test("a server that flaps waits longer for each trial", async () => {
+  const fleet = await startFleet();
+  await recordOutcomes(fleet, "vm-01", [FAILED, FAILED, FAILED, FAILED]);
+  await fleet.time.advance(5_000);
+  await recordOutcomes(fleet, "vm-01", [FAILED]);
+  await fleet.time.advance(3_000);
+  assert.equal(getStanding(fleet, "vm-01"), ServerStanding.Ejected);
+});
+
+test("a draining server gets no new work anywhere within the bound", async () => {
+  const fleet = await startFleet();
+  const { state } = fleet.find("vm-01", ServiceName.Configuration);
+  const server = state.servers.get("rota-3");
+  if (server === undefined) throw new Error("there is no server");
+  fleet.find("vm-01", ServiceName.Detector).recordDraining(server, true);
+  await fleet.time.advance(DRAIN_BOUND_MS);
+  for (const vm of fleet.names) {
+    const selection = fleet.find(vm, ServiceName.Selection);
+    const picked = [
+      ...selection.selectServers("rota", Idempotency.Idempotent),
+    ].map(({ id }) => id);
+    assert.equal(picked.includes("rota-3"), false, vm);
+    assert.equal(picked.length, SERVERS - 1);
+  }
+});
+
+test("a drain in the log is in force on every VM", async () => {
+  const fleet = await startFleet();
+  const { state } = fleet.find("vm-01", ServiceName.Configuration);
+  const server = state.servers.get("rota-2");
+  if (server === undefined) throw new Error("there is no server");
+  const { revision, ...rest } = server;
+  fleet.publish({
+    kind: RecordKind.ServerSet,
+    server: { ...rest, phase: ServerPhase.Draining },
+  }, revision);
+  await fleet.time.advance(DRAIN_BOUND_MS);
+  for (const vm of fleet.names) {
+    const configuration = fleet.find(vm, ServiceName.Configuration);
+    assert.equal(configuration.counts[VerdictKind.Conflict], 0);
+    const selection = fleet.find(vm, ServiceName.Selection);
+    const picked = [
+      ...selection.selectServers("rota", Idempotency.Idempotent),
+    ].map(({ id }) => id);
+    assert.equal(picked.includes("rota-2"), false, vm);
+  }
+});
--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -3,13 +3,17 @@
 import { createDaemonKernel } from "../src/daemon/wiring/mod.ts";
 import { Channel } from "../src/kernel/mod.ts";
 import type { Kernel } from "../src/kernel/mod.ts";
-import { OutcomeKind } from "../src/model/mod.ts";
-import type { Change } from "../src/model/mod.ts";
+import { FailureKind, OutcomeKind, Step } from "../src/model/mod.ts";
+import type { AttemptOutcome, Change, Server } from "../src/model/mod.ts";
 import {
   createServiceDefinition,
   ServiceName,
 } from "../src/services/catalog.ts";
 import type { Services } from "../src/services/catalog.ts";
+import type {
+  Attempt,
+  UpstreamAnswer,
+} from "../src/services/forwarding/upstream.ts";
 import { createSeededRandom } from "../src/services/random/mod.ts";
 import { MemoryLog } from "../standins/log_standin.ts";
 import { MemoryLogClient } from "../standins/memory_log_client.ts";
@@ -52,6 +56,25 @@
    * @default false
    */
   readonly countsBytes?: boolean;
+  /**
+   * Sends the attempts of the VM called `vm`.
+   * @default refuses every connection
+   */
+  readonly sendAttempt?: (
+    attempt: Attempt,
+    vm: string,
+    clock: VirtualClock,
+  ) => Promise<AttemptOutcome<UpstreamAnswer>>;
+  /**
+   * Whether a backend server accepts a connection.
+   * @default true
+   */
+  readonly isOpen?: (server: Server) => boolean;
+  /**
+   * Services that take the place of the real ones, made for each VM.
+   * @default none
+   */
+  readonly createFakes?: (clock: VirtualClock) => Partial<Services>;
 }
 
 /** One VM of the fleet. */
@@ -251,16 +274,13 @@
       [ServiceName.OperatorServer]: createIdleServer(),
       [ServiceName.UpstreamClient]: {
         send: (attempt) =>
-          Promise.resolve({
-            kind: OutcomeKind.NotRun,
-            failure: {
-              kind: "connection_refused",
-              step: "connect",
-              peer: attempt.server.id,
-            } as never,
-          }),
+          this.#options.sendAttempt?.(attempt, transport.address, clock) ??
+            Promise.resolve(createRefused(attempt)),
+        probe: (server) =>
+          Promise.resolve(this.#options.isOpen?.(server) ?? true),
         close: () => {},
       },
+      ...this.#options.createFakes?.(clock),
     };
     for (const [name, fake] of Object.entries(fakes)) {
       kernel.add(createServiceDefinition({
@@ -272,6 +292,20 @@
   }
 }
 
+/** Creates the outcome of an attempt whose connection was refused. */
+export function createRefused(
+  attempt: Attempt,
+): AttemptOutcome<UpstreamAnswer> {
+  return {
+    kind: OutcomeKind.NotRun,
+    failure: {
+      kind: FailureKind.ConnectionRefused,
+      step: Step.Connect,
+      peer: attempt.server.id,
+    },
+  };
+}
+
 interface OutsideParts {
   readonly clock: VirtualClock;
   readonly log: MemoryLogClient;
