--- a/src/services/shares/mod.ts
+++ b/src/services/shares/mod.ts
@@ -98,6 +98,8 @@
 const ASKS_PER_SECOND = 100;
 const PAUSE_MIN_MS = 20;
 const PAUSE_MAX_MS = 1_000;
+/** Longest pause of a peer that a request waits for. */
+const PAUSE_WORTH_MS = 40;
 const MS_PER_SECOND = 1_000;
 /** Time after which a team that sent nothing is forgotten. */
 const FORGET_DEMAND = 0.001;
@@ -135,7 +137,10 @@
     const endAt = clock.now() + SEARCH_LIMIT_MS;
     share.waiting += 1;
     try {
-      while (clock.now() < endAt && this.#isWorthAsking(team, share)) {
+      while (clock.now() < endAt) {
+        const pauseMs = this.#getPauseMs(team, share);
+        if (pauseMs > PAUSE_WORTH_MS) break;
+        if (pauseMs > 0) await clock.sleep(pauseMs);
         share.search ??= this.#runSearch(team, preset, share)
           .finally(() => share.search = undefined);
         const hasAsked = await share.search;
@@ -155,12 +160,10 @@
 
   /** Whether neither this VM nor a reached peer holds a seat of the team. */
   #hasNoSource(team: Team): boolean {
-    const { seats, membership } = this.#parts;
     const home = new Set(listHomeSeats(team));
-    if (seats.listHeld().some((seat) => home.has(seat.index))) return false;
-    return !membership.listReached().some((peer) =>
-      peer.seats.some((seat) => home.has(seat.index))
-    );
+    const held = this.#parts.seats.listHeld();
+    if (held.some((seat) => home.has(seat.index))) return false;
+    return this.#listHolders(team).length === 0;
   }
 
   /** Gives back the token of a request that was not run after all. */
@@ -285,9 +288,21 @@
       .reduce((sum, { tokens }) => sum + tokens, 0);
   }
 
-  #isWorthAsking(team: Team, share: TeamShare): boolean {
-    return share.search !== undefined ||
-      this.#listLenders(team, share).length > 0;
+  /** Gets the time until a peer may be asked; Infinity without any peer. */
+  #getPauseMs(team: Team, share: TeamShare): number {
+    if (share.search !== undefined) return 0;
+    const now = this.#parts.clock.now();
+    const times = this.#listHolders(team)
+      .map((peer) => share.askAgainAt.get(peer.vm) ?? now);
+    return Math.max(0, Math.min(...times) - now);
+  }
+
+  /** Lists the peers that hold seats of the team. */
+  #listHolders(team: Team): PeerState[] {
+    const home = new Set(listHomeSeats(team));
+    return this.#parts.membership.listReached().filter((peer) =>
+      peer.seats.some((seat) => home.has(seat.index))
+    );
   }
 
   /**
@@ -298,11 +313,8 @@
    */
   #listLenders(team: Team, share: TeamShare): PeerState[] {
     const now = this.#parts.clock.now();
-    const home = new Set(listHomeSeats(team));
-    const lenders = this.#parts.membership.listReached().filter((peer) =>
-      (share.askAgainAt.get(peer.vm) ?? 0) <= now &&
-      peer.seats.some((seat) => home.has(seat.index))
-    );
+    const lenders = this.#listHolders(team)
+      .filter((peer) => (share.askAgainAt.get(peer.vm) ?? 0) <= now);
     return listRanked(
       lenders,
       (peer) => now - (share.askedAt.get(peer.vm) ?? -Infinity),
