--- a/scripts/demo_fleet.ts
+++ b/scripts/demo_fleet.ts
@@ -29,6 +29,11 @@
    * @default 4
    */
   servers?: number;
+  /**
+   * Time that callers may keep an address answer, in milliseconds.
+   * @default 1000
+   */
+  addressTtlMs?: number;
 }
 
 /** Status and body of an answer. */
@@ -63,7 +68,11 @@
   await waitUntil(() => isAnswering(listPort, "/vms"), START_LIMIT_MS);
   const daemons: FleetDaemon[] = [];
   const start = (daemon: Omit<FleetDaemon, "process">): ChildProcess =>
-    startDaemonProcess(group, daemon, { logPort, listPort });
+    startDaemonProcess(group, daemon, {
+      logPort,
+      listPort,
+      addressTtlMs: options.addressTtlMs ?? 1_000,
+    });
   for (let index = 0; index < daemonCount; index += 1) {
     const [callerPort = 0, peerPort = 0, operatorPort = 0] = ports.splice(0, 3);
     const name = `vm-${index + 1}`;
@@ -97,6 +106,10 @@
   readonly serverPorts: readonly number[];
 }
 
+interface DaemonOptions extends Omit<StandinPorts, "serverPorts"> {
+  readonly addressTtlMs: number;
+}
+
 function startStandins(group: ProcessGroup, ports: StandinPorts): void {
   group.start("standins/main.js", ["log", String(ports.logPort)]);
   group.start("standins/main.js", ["vm_list", String(ports.listPort)]);
@@ -112,7 +125,7 @@
 function startDaemonProcess(
   group: ProcessGroup,
   daemon: Omit<FleetDaemon, "process">,
-  ports: Omit<StandinPorts, "serverPorts">,
+  ports: DaemonOptions,
 ): ChildProcess {
   const domain = Number(daemon.name.slice(3)) % 3 + 1;
   return group.start("src/daemon/main.js", [
@@ -121,6 +134,7 @@
     `--caller-listen=127.0.0.1:${daemon.callerPort}`,
     `--peer-listen=127.0.0.1:${daemon.peerPort}`,
     `--operator-listen=127.0.0.1:${daemon.operatorPort}`,
+    `--address-ttl-ms=${ports.addressTtlMs}`,
     `--log-url=http://127.0.0.1:${ports.logPort}`,
     `--vm-list-url=http://127.0.0.1:${ports.listPort}/vms`,
     `--operator-keys=${
--- a/scripts/model.ts
+++ b/scripts/model.ts
@@ -48,6 +48,7 @@
   execFileSync("spin", ["-a", ...run.flags, SPEC], { cwd: folder });
   execFileSync("gcc", [
     "-O2",
+    "-w",
     "-DSAFETY",
     "-DCOLLAPSE",
     `-DMEMLIM=${MEMORY_MB}`,
