Split the detector's and the shares' largest files

Change: what is known of one server (watch.ts) and of one team (team_share.ts) stand by themselves; nothing else is changed.

--- a/src/services/detector/mod.ts
+++ b/src/services/detector/mod.ts
@@ -12,8 +12,9 @@
 import { Baseline } from "./baseline.ts";
 import { EjectionReason, Ejections, ServerStanding } from "./ejections.ts";
 import type { FloorView } from "./ejections.ts";
-import { SequentialTest } from "./sequential_test.ts";
 import type { EvidenceOrigin, Tally } from "./sequential_test.ts";
+import { createWatch, isOverThreshold, OWN } from "./watch.ts";
+import type { Watch } from "./watch.ts";
 
 export { EjectionReason, ServerStanding } from "./ejections.ts";
 
@@ -58,24 +59,8 @@
   readonly floorLeft: number;
 }
 
-/** What is known of one server. */
-interface Watch {
-  readonly failures: SequentialTest;
-  readonly slowness: SequentialTest;
-  /** Ejections in a row, by which the time until a trial doubles. */
-  flaps: number;
-  admittedAt: number;
-  good: number;
-  failed: number;
-  slow: number;
-}
-
-/** Score at which a server is ejected. */
-const THRESHOLD = 13;
 /** Score from which a server is sent more requests, to decide sooner. */
 const SUSPECT_SCORE = 5;
-/** Part of the score that must come from other VMs than the greatest one. */
-const SHARED_RATIO = 0.25;
 const TICK_MS = 50;
 const DIGEST_MIN_MS = 100;
 const TRIAL_DELAY_MS = 2_000;
@@ -89,7 +74,6 @@
 const TRIALS_NEEDED = 5;
 /** Time without an ejection after which earlier ones are forgotten. */
 const FLAP_MEMORY_MS = 120_000;
-const OWN: EvidenceOrigin = "";
 
 /** Tests every server against its siblings. */
 export class Detector {
@@ -421,15 +405,7 @@
   #getWatch(server: ServerId): Watch {
     const existing = this.#watches.get(server);
     if (existing !== undefined) return existing;
-    const created = {
-      failures: new SequentialTest(),
-      slowness: new SequentialTest(),
-      flaps: 0,
-      admittedAt: this.#parts.clock.now(),
-      good: 0,
-      failed: 0,
-      slow: 0,
-    };
+    const created = createWatch(this.#parts.clock.now());
     this.#watches.set(server, created);
     return created;
   }
@@ -456,16 +432,3 @@
   readonly failed: number;
   readonly slow: number;
 }
-
-/**
- * Whether the evidence is enough to eject.
- *
- * Own evidence is enough by itself, since it may be this VM's link that is
- * bad. That of one peer alone is not: then it may be the peer's link.
- */
-function isOverThreshold(test: SequentialTest): boolean {
-  if (test.score < THRESHOLD) return false;
-  const greatest = test.getGreatestPart();
-  if (test.getPart(OWN) >= greatest) return true;
-  return test.score - greatest >= SHARED_RATIO * THRESHOLD;
-}
--- a/src/services/shares/mod.ts
+++ b/src/services/shares/mod.ts
@@ -10,9 +10,9 @@
 import type { LoanAnswer, LoanRequest } from "../membership/peer_message.ts";
 import type { Seats } from "../seats/mod.ts";
 import type { SeatLimit, SeatShare, SeatTeam } from "../seats/seat_share.ts";
-import { BorrowedTokens } from "./borrowed.ts";
 import { listRanked } from "../hashing/mod.ts";
-import { Demand } from "./demand.ts";
+import { createTeamShare, setPause } from "./team_share.ts";
+import type { TeamShare } from "./team_share.ts";
 import {
   getLoanLifetimeMs,
   getSeatLimit,
@@ -65,21 +65,6 @@
   answers: number;
 }
 
-/** A team as this VM serves it. */
-interface TeamShare {
-  readonly borrowed: BorrowedTokens;
-  readonly demand: Demand;
-  /** Time before which each peer is not asked again. */
-  readonly askAgainAt: Map<string, number>;
-  readonly pauseMs: Map<string, number>;
-  /** When each peer was asked last. */
-  readonly askedAt: Map<string, number>;
-  /** The search for tokens under way; undefined when there is none. */
-  search: Promise<boolean> | undefined;
-  /** Requests that wait for the search. */
-  waiting: number;
-}
-
 interface TeamLimits {
   readonly team: Team;
   readonly seatTeam: SeatTeam;
@@ -96,8 +81,6 @@
 const RESERVE_MS = 50;
 /** Requests for tokens that a VM sends in a second, over all teams. */
 const ASKS_PER_SECOND = 100;
-const PAUSE_MIN_MS = 20;
-const PAUSE_MAX_MS = 1_000;
 /** Longest pause of a peer that a request waits for. */
 const PAUSE_WORTH_MS = 40;
 const MS_PER_SECOND = 1_000;
@@ -201,15 +184,7 @@
   #getShare(team: TeamId): TeamShare {
     const existing = this.#teams.get(team);
     if (existing !== undefined) return existing;
-    const created: TeamShare = {
-      borrowed: new BorrowedTokens(),
-      demand: new Demand(this.#parts.clock.now()),
-      askAgainAt: new Map(),
-      pauseMs: new Map(),
-      askedAt: new Map(),
-      search: undefined,
-      waiting: 0,
-    };
+    const created = createTeamShare(this.#parts.clock.now());
     this.#teams.set(team, created);
     return created;
   }
@@ -368,24 +343,17 @@
     share.askedAt.set(peer.vm, askedAt);
     const answer = await this.#sendRequest(peer, team.id, wanted);
     const tokens = answer?.tokens ?? 0;
-    this.#setPause(share, peer, tokens >= Math.min(1, wanted));
+    setPause(share, {
+      vm: peer.vm,
+      isFull: tokens >= Math.min(1, wanted),
+      now: clock.now(),
+    });
     if (answer === undefined || tokens <= 0) return;
     const until = askedAt + answer.lifetimeMs;
     if (until <= clock.now()) return;
     share.borrowed.add(answer.tokens, until);
   }
 
-  /** A peer without tokens is left alone for a while, longer each time. */
-  #setPause(share: TeamShare, peer: PeerState, isFull: boolean): void {
-    if (isFull) {
-      share.pauseMs.delete(peer.vm);
-      return;
-    }
-    const pauseMs = share.pauseMs.get(peer.vm) ?? PAUSE_MIN_MS;
-    share.pauseMs.set(peer.vm, Math.min(PAUSE_MAX_MS, pauseMs * 2));
-    share.askAgainAt.set(peer.vm, this.#parts.clock.now() + pauseMs);
-  }
-
   async #sendRequest(
     peer: PeerState,
     team: TeamId,
