Count second attempts over all VMs

Ruled out: attempts of the route (3 allowed), deadlines (10 of 91).

Change: requests and second attempts are counted in the users' window by all VMs and exchanged with the teams' counts. While much is left a VM repeats each request once; after that it keeps to its part. The name of an exchanged count bears its kind.

--- a/src/daemon/wiring/cell.ts
+++ b/src/daemon/wiring/cell.ts
@@ -14,7 +14,7 @@
 import { createWebSocketTransport } from "../../protocols/peer/ws_transport.ts";
 import { createMeshExchange } from "../../services/detector/evidence_exchange.ts";
 import { DetectionPolicy } from "../../services/detector/mod.ts";
-import { RetryEarning } from "../../services/forwarding/retry_budget.ts";
+import { createTokenBudget } from "../../services/forwarding/retry_budget.ts";
 import { Freshness } from "../../services/freshness/mod.ts";
 import { Membership } from "../../services/membership/mod.ts";
 import { Presence } from "../../services/presence/mod.ts";
@@ -172,14 +172,13 @@
     create: () => DetectionPolicy.Eject,
   }));
   kernel.add(createServiceDefinition({
-    name: ServiceName.RetryPolicy,
+    name: ServiceName.RetryBudget,
     needs: [],
-    create: () => ({
-      earning: RetryEarning.Answers,
-      ratio: RETRY_BUDGET_RATIO,
-      getBurst: () => RETRY_BUDGET_BURST,
-      isPerTeam: true,
-    }),
+    create: () =>
+      createTokenBudget({
+        ratio: RETRY_BUDGET_RATIO,
+        burst: RETRY_BUDGET_BURST,
+      }),
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.EvidenceExchange,
--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -14,9 +14,9 @@
 import { ServerRegistry } from "../../services/feed/server_registry.ts";
 import { createFleetExchange } from "../../services/fleet/evidence.ts";
 import { createFleetLoads } from "../../services/fleet/loads.ts";
-import { Fleet } from "../../services/fleet/mod.ts";
+import { Fleet, UsageKind } from "../../services/fleet/mod.ts";
 import { DetectionPolicy } from "../../services/detector/mod.ts";
-import { RetryEarning } from "../../services/forwarding/retry_budget.ts";
+import { FleetRetryBudget } from "../../services/forwarding/fleet_retry_budget.ts";
 import { Confirmations } from "../../services/freshness/confirmations.ts";
 import { FleetStop } from "../../services/planned_stop/fleet_stop.ts";
 import { Quota } from "../../services/quota/mod.ts";
@@ -27,8 +27,6 @@
  * confirmation counts. The rest is for requests that are on their way.
  */
 const FRESHNESS_RATIO = 0.6;
-/** Part of the fleet's retries that is spent; the rest is for miscounts. */
-const RETRY_MARGIN_RATIO = 0.8;
 
 /** Adds the services of the fleet. */
 export function addFleet(kernel: Kernel<Services>): void {
@@ -197,7 +195,7 @@
         clock: find(ServiceName.Clock),
         countVms: () => fleet.listVms().length,
       });
-      fleet.setUsageSource(quota);
+      fleet.setUsageSource(UsageKind.Team, quota);
       return quota;
     },
   }));
@@ -212,20 +210,27 @@
     create: () => DetectionPolicy.Avoid,
   }));
   kernel.add(createServiceDefinition({
-    name: ServiceName.RetryPolicy,
-    needs: [ServiceName.Settings, ServiceName.Fleet],
+    name: ServiceName.FleetRetryBudget,
+    needs: [ServiceName.Settings, ServiceName.Clock, ServiceName.Fleet],
     create: (find) => {
-      const { retryRatio, retrySlack } = find(ServiceName.Settings);
+      const settings = find(ServiceName.Settings);
       const fleet = find(ServiceName.Fleet);
-      return {
-        earning: RetryEarning.Requests,
-        ratio: retryRatio * RETRY_MARGIN_RATIO,
-        getBurst: () =>
-          Math.max(1, retrySlack * RETRY_MARGIN_RATIO / fleet.listVms().length),
-        isPerTeam: false,
-      };
+      const budget = new FleetRetryBudget({
+        clock: find(ServiceName.Clock),
+        countVms: () => fleet.listVms().length,
+        ratio: settings.retryRatio,
+        slack: settings.retrySlack,
+        windowMs: settings.retryWindowMs,
+      });
+      fleet.setUsageSource(UsageKind.Retries, budget);
+      return budget;
     },
   }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.RetryBudget,
+    needs: [ServiceName.FleetRetryBudget],
+    create: (find) => find(ServiceName.FleetRetryBudget),
+  }));
 }
 
 function addLife(kernel: Kernel<Services>): void {
--- a/src/daemon/wiring/request_path.ts
+++ b/src/daemon/wiring/request_path.ts
@@ -106,7 +106,7 @@
       ServiceName.UpstreamClient,
       ServiceName.Metrics,
       ServiceName.Random,
-      ServiceName.RetryPolicy,
+      ServiceName.RetryBudget,
       ServiceName.Logging,
     ],
     create: (find) => {
@@ -121,7 +121,7 @@
         metrics: find(ServiceName.Metrics),
         random: find(ServiceName.Random),
         logger: find(ServiceName.Logging).createLogger("forwarding"),
-        retryPolicy: find(ServiceName.RetryPolicy),
+        retryBudget: find(ServiceName.RetryBudget),
         attemptPrefix: `${vm}-${incarnation.toString(36)}`,
       });
     },
--- a/src/protocols/fleet/message_codec.ts
+++ b/src/protocols/fleet/message_codec.ts
@@ -9,7 +9,7 @@
   FleetMessage,
   InFlight,
   LiveVm,
-  TeamUsage,
+  Usage,
 } from "../../services/fleet/message.ts";
 import type { MessageCodec } from "../peer/ws_transport.ts";
 
@@ -25,10 +25,10 @@
   peerAddress: name,
 });
 const role = z.enum(FleetRole);
-/** Team, admitted and asked: short, since it is sent often. */
+/** Name, admitted and asked: short, since it is sent often. */
 const usage = z.tuple([name, z.int(), z.int()]).transform((
-  [team, admitted, asked],
-): TeamUsage => ({ team, admitted, asked }));
+  [counted, admitted, asked],
+): Usage => ({ name: counted, admitted, asked }));
 const load = z.array(
   z.tuple([name, count]).transform(([server, inFlight]): InFlight => ({
     server,
@@ -163,9 +163,9 @@
 }
 
 function encodeUsage(
-  { team, admitted, asked }: TeamUsage,
+  { name, admitted, asked }: Usage,
 ): [string, number, number] {
-  return [team, admitted, asked];
+  return [name, admitted, asked];
 }
 
 function encodeInFlight({ server, inFlight }: InFlight): [string, number] {
--- a/src/services/catalog.ts
+++ b/src/services/catalog.ts
@@ -23,7 +23,8 @@
 import type { Fleet, FleetMessage, VmDirectory } from "./fleet/mod.ts";
 import type { Forwarding } from "./forwarding/mod.ts";
 import type { UpstreamClient } from "./forwarding/upstream.ts";
-import type { RetryPolicy } from "./forwarding/retry_budget.ts";
+import type { FleetRetryBudget } from "./forwarding/fleet_retry_budget.ts";
+import type { RetryBudget } from "./forwarding/retry_budget.ts";
 import type { FreshnessSource } from "./freshness/mod.ts";
 import type { LogClient } from "./log_client/mod.ts";
 import type { LogReader } from "./log_reader/mod.ts";
@@ -80,7 +81,8 @@
   OperatorFront = "operator_front",
   EvidenceExchange = "evidence_exchange",
   TeamLimiter = "team_limiter",
-  RetryPolicy = "retry_policy",
+  RetryBudget = "retry_budget",
+  FleetRetryBudget = "fleet_retry_budget",
   LoadExchange = "load_exchange",
   DetectionPolicy = "detection_policy",
   DocumentSource = "document_source",
@@ -138,7 +140,8 @@
   [ServiceName.OperatorFront]: OperatorFront;
   [ServiceName.EvidenceExchange]: EvidenceExchange;
   [ServiceName.TeamLimiter]: TeamLimiter;
-  [ServiceName.RetryPolicy]: RetryPolicy;
+  [ServiceName.RetryBudget]: RetryBudget;
+  [ServiceName.FleetRetryBudget]: FleetRetryBudget;
   [ServiceName.LoadExchange]: LoadExchange;
   [ServiceName.DetectionPolicy]: DetectionPolicy;
   [ServiceName.DocumentSource]: FeedSource<DocumentUpdate>;
--- a/src/services/fleet/exchange.ts
+++ b/src/services/fleet/exchange.ts
@@ -12,7 +12,8 @@
   LiveVm,
   Report,
   Status,
-  TeamUsage,
+  Usage,
+  UsageKind,
   VmEntry,
 } from "./message.ts";
 import { UsageLedger } from "./usage_ledger.ts";
@@ -20,12 +21,12 @@
 /** Time for which another domain's word on its VMs counts. */
 const DOMAIN_TIMEOUT_MS = 3_000;
 
-/** Counts requests of teams on this VM and hears of the others'. */
+/** Counts requests of one kind on this VM and hears of the others'. */
 export interface UsageSource {
   /** Lists this VM's counts. */
-  listUsage(): readonly TeamUsage[];
+  listUsage(): readonly Usage[];
   /** Takes the counts of all other VMs, as far as this link tells them. */
-  recordOthers(others: readonly TeamUsage[], isFirst: boolean): void;
+  recordOthers(others: readonly Usage[], isFirst: boolean): void;
 }
 
 /** Knows when the configuration was confirmed last. */
@@ -86,7 +87,7 @@
   #vmsVersion = 0;
   #vmsText = "";
   #getPhase: () => VmPhase = () => VmPhase.Starting;
-  #usage: UsageSource | undefined;
+  readonly #usage = new Map<UsageKind, UsageSource>();
   #load: LoadSource | undefined;
   #confirmations: ConfirmationSource | undefined;
 
@@ -105,9 +106,9 @@
     this.#getPhase = getPhase;
   }
 
-  /** Sets who counts requests of teams. */
-  setUsageSource(source: UsageSource): void {
-    this.#usage = source;
+  /** Sets who keeps the counts of one kind. */
+  setUsageSource(kind: UsageKind, source: UsageSource): void {
+    this.#usage.set(kind, source);
   }
 
   /** Sets who knows what this VM has in flight. */
@@ -133,8 +134,7 @@
     const { self } = this.#parts;
     this.#updateVmsVersion();
     this.#serversDigest = this.#confirmations?.getServersDigest() ?? 0;
-    const own = this.#usage?.listUsage() ?? [];
-    this.#domainUsage.record(formatOrigin(self), own);
+    this.#domainUsage.record(formatOrigin(self), this.#listUsage());
     this.#domainLoad.record(self.name, this.#load?.listInFlight() ?? [], now);
     this.#recordOthersAsHub();
   }
@@ -160,7 +160,7 @@
       kind: FleetMessageKind.Status,
       sentAt: this.#parts.clock.now(),
       phase: this.#getPhase(),
-      usage: link.takeChangedUsage(this.#usage?.listUsage() ?? []),
+      usage: link.takeChangedUsage(this.#listUsage()),
       load: this.#load?.listInFlight() ?? [],
     };
   }
@@ -237,7 +237,7 @@
   /** Takes the hub's report. */
   applyReport(report: Report, link: Link): void {
     if (report.vms !== undefined) this.#toldVms = report.vms;
-    this.#usage?.recordOthers(report.others, !this.#reportedLinks.has(link));
+    this.#recordOthersUsage(report.others, !this.#reportedLinks.has(link));
     this.#reportedLinks.add(link);
     this.#load?.recordOthers(report.load);
     this.#confirmations?.checkServersDigest(report.serversDigest, link);
@@ -265,11 +265,30 @@
       this.#domainUsage.listOthers(formatOrigin(this.#parts.self)),
       this.#foreignUsage.listOthers(""),
     );
-    this.#usage?.recordOthers(others, this.#isFirstAsHub);
+    this.#recordOthersUsage(others, this.#isFirstAsHub);
     this.#isFirstAsHub = false;
     this.#load?.recordOthers(this.#sumOthersLoad(this.#parts.self.name));
   }
 
+  /** Lists this VM's counts of all kinds. */
+  #listUsage(): Usage[] {
+    return [...this.#usage].flatMap(([kind, source]) =>
+      source.listUsage().map((usage) => ({
+        ...usage,
+        name: kind + usage.name,
+      }))
+    );
+  }
+
+  #recordOthersUsage(others: readonly Usage[], isFirst: boolean): void {
+    for (const [kind, source] of this.#usage) {
+      const ofKind = others
+        .filter((usage) => usage.name.startsWith(kind))
+        .map((usage) => ({ ...usage, name: usage.name.slice(kind.length) }));
+      source.recordOthers(ofKind, isFirst);
+    }
+  }
+
   #createOwnView(): LiveVm {
     const { name, failureDomain, callerAddress } = this.#parts.self;
     return { name, failureDomain, callerAddress, phase: this.#getPhase() };
@@ -302,14 +321,14 @@
 }
 
 function mergeUsage(
-  left: readonly TeamUsage[],
-  right: readonly TeamUsage[],
-): TeamUsage[] {
-  const sums = new Map<string, TeamUsage>();
-  for (const { team, admitted, asked } of [...left, ...right]) {
-    const sum = sums.get(team);
-    sums.set(team, {
-      team,
+  left: readonly Usage[],
+  right: readonly Usage[],
+): Usage[] {
+  const sums = new Map<string, Usage>();
+  for (const { name, admitted, asked } of [...left, ...right]) {
+    const sum = sums.get(name);
+    sums.set(name, {
+      name,
       admitted: admitted + (sum?.admitted ?? 0),
       asked: asked + (sum?.asked ?? 0),
     });
--- a/src/services/fleet/link.ts
+++ b/src/services/fleet/link.ts
@@ -1,7 +1,7 @@
 /** A link to one other VM, and what was told over it. */
 import type { PeerConnection } from "../membership/transport.ts";
 import { FleetMessageKind, FleetRole } from "./message.ts";
-import type { FleetMessage, Hello, TeamUsage, VmEntry } from "./message.ts";
+import type { FleetMessage, Hello, Usage, VmEntry } from "./message.ts";
 
 /** What this end of a link is for. */
 export enum LinkKind {
@@ -30,7 +30,7 @@
   /** Newest status of a follower: its `sentAt`, and when it arrived. */
   status: { readonly sentAt: number; readonly at: number } | undefined;
   readonly #connection: PeerConnection<FleetMessage>;
-  readonly #sentUsage = new Map<string, TeamUsage>();
+  readonly #sentUsage = new Map<string, Usage>();
 
   /** Creates a link over a connection whose other end said hello. */
   constructor(
@@ -57,12 +57,12 @@
   }
 
   /** Lists the counts that differ from those last taken, and notes them. */
-  takeChangedUsage(usage: readonly TeamUsage[]): TeamUsage[] {
+  takeChangedUsage(usage: readonly Usage[]): Usage[] {
     return usage.filter((counts) => {
-      const sent = this.#sentUsage.get(counts.team);
+      const sent = this.#sentUsage.get(counts.name);
       const isSame = sent?.admitted === counts.admitted &&
         sent.asked === counts.asked;
-      if (!isSame) this.#sentUsage.set(counts.team, counts);
+      if (!isSame) this.#sentUsage.set(counts.name, counts);
       return !isSame;
     });
   }
--- a/src/services/fleet/message.ts
+++ b/src/services/fleet/message.ts
@@ -4,7 +4,6 @@
   Incarnation,
   Offset,
   ServerId,
-  TeamId,
   VmName,
   VmPhase,
 } from "../../model/mod.ts";
@@ -56,10 +55,19 @@
   readonly phase: VmPhase;
 }
 
-/** What a team's callers asked for and got; counts since a start. */
-export interface TeamUsage {
-  readonly team: TeamId;
-  /** Requests admitted, less those that were not run. */
+/** What is counted; the first character of a {@linkcode Usage}'s name. */
+export enum UsageKind {
+  /** Requests of a team. */
+  Team = "t",
+  /** Requests to a service, and second attempts at it. */
+  Retries = "r",
+}
+
+/** What was asked for and admitted of one thing; counts since a start. */
+export interface Usage {
+  /** Team or service; among other VMs, behind its {@linkcode UsageKind}. */
+  readonly name: string;
+  /** Requests or second attempts admitted, less those given back. */
   readonly admitted: number;
   /** Requests that arrived, refused ones included. */
   readonly asked: number;
@@ -90,8 +98,8 @@
   /** Sender's monotonic time in milliseconds, for the hub to echo. */
   readonly sentAt: number;
   readonly phase: VmPhase;
-  /** Teams whose counts have changed since the last status. */
-  readonly usage: readonly TeamUsage[];
+  /** Counts that have changed since the last status. */
+  readonly usage: readonly Usage[];
   /** What the sender has in flight now. */
   readonly load: readonly InFlight[];
 }
@@ -112,7 +120,7 @@
   /** Undefined while the hub has none itself. */
   readonly confirmation: PassedConfirmation | undefined;
   /** Counts of all other VMs together, since the link was opened. */
-  readonly others: readonly TeamUsage[];
+  readonly others: readonly Usage[];
   /** What all other VMs together have in flight. */
   readonly load: readonly InFlight[];
   /** All VMs that live; undefined when that has not changed. */
@@ -124,7 +132,7 @@
 /** A hub's word to the hubs of other failure domains. */
 export interface DomainReport {
   readonly kind: FleetMessageKind.DomainReport;
-  readonly usage: readonly TeamUsage[];
+  readonly usage: readonly Usage[];
   /** What the VMs of the domain have in flight. */
   readonly load: readonly InFlight[];
   /** VMs of the domain that live; undefined when that has not changed. */
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -21,7 +21,7 @@
   resolveAcceptedKind,
 } from "./link.ts";
 import { FleetMessageKind, FleetRole } from "./message.ts";
-import type { FleetMessage, LiveVm, VmEntry } from "./message.ts";
+import type { FleetMessage, LiveVm, UsageKind, VmEntry } from "./message.ts";
 import { VmList } from "./vm_list.ts";
 
 export { VmUpdateKind } from "./directory.ts";
@@ -32,12 +32,12 @@
   UsageSource,
 } from "./exchange.ts";
 export { Link, LinkKind } from "./link.ts";
-export { FleetMessageKind, FleetRole } from "./message.ts";
+export { FleetMessageKind, FleetRole, UsageKind } from "./message.ts";
 export type {
   FleetMessage,
   LiveVm,
   ServersRelay,
-  TeamUsage,
+  Usage,
   VmEntry,
 } from "./message.ts";
 
@@ -125,9 +125,9 @@
     this.#exchange.setPhaseSource(getPhase);
   }
 
-  /** Sets who counts requests of teams. */
-  setUsageSource(source: UsageSource): void {
-    this.#exchange.setUsageSource(source);
+  /** Sets who keeps the counts of one kind. */
+  setUsageSource(kind: UsageKind, source: UsageSource): void {
+    this.#exchange.setUsageSource(kind, source);
   }
 
   /** Sets who knows what this VM has in flight. */
--- a/src/services/fleet/usage_ledger.ts
+++ b/src/services/fleet/usage_ledger.ts
@@ -1,18 +1,17 @@
 /** Sums what all VMs admitted, from counts that each VM keeps of itself. */
-import type { TeamId } from "../../model/mod.ts";
-import type { TeamUsage } from "./message.ts";
+import type { Usage } from "./message.ts";
 
 /** A sender of counts: one start of a VM, or one hub of another domain. */
 export type UsageOrigin = string;
 
-/** Admitted and asked requests of a team. */
+/** Admitted and asked requests of one name. */
 export interface UsageCounts {
   admitted: number;
   asked: number;
 }
 
-/** Counts by team. */
-export type UsageTable = Map<TeamId, UsageCounts>;
+/** Counts by name. */
+export type UsageTable = Map<string, UsageCounts>;
 
 /** Adds up the growth of each origin's counts. */
 export class UsageLedger {
@@ -26,20 +25,20 @@
    * The first counts of an origin are where it is counted from: what lies
    * before was counted by another hub, or by nobody.
    */
-  record(origin: UsageOrigin, usage: readonly TeamUsage[]): void {
+  record(origin: UsageOrigin, usage: readonly Usage[]): void {
     const isNew = !this.#seen.has(origin);
     const seen = getTable(this.#seen, origin);
     const credited = getTable(this.#credited, origin);
-    for (const { team, admitted, asked } of usage) {
-      const before = seen.get(team) ??
+    for (const { name, admitted, asked } of usage) {
+      const before = seen.get(name) ??
         (isNew ? { admitted, asked } : { admitted: 0, asked: 0 });
       const growth = {
         admitted: admitted - before.admitted,
         asked: asked - before.asked,
       };
-      seen.set(team, { admitted, asked });
-      addCounts(credited, team, growth);
-      addCounts(this.#totals, team, growth);
+      seen.set(name, { admitted, asked });
+      addCounts(credited, name, growth);
+      addCounts(this.#totals, name, growth);
     }
   }
 
@@ -49,13 +48,13 @@
     this.#credited.delete(origin);
   }
 
-  /** Lists the sums over all origins but one, of all teams. */
-  listOthers(origin: UsageOrigin): TeamUsage[] {
+  /** Lists the sums over all origins but one, of all names. */
+  listOthers(origin: UsageOrigin): Usage[] {
     const own = this.#credited.get(origin);
-    return [...this.#totals].map(([team, total]) => ({
-      team,
-      admitted: total.admitted - (own?.get(team)?.admitted ?? 0),
-      asked: total.asked - (own?.get(team)?.asked ?? 0),
+    return [...this.#totals].map(([name, total]) => ({
+      name,
+      admitted: total.admitted - (own?.get(name)?.admitted ?? 0),
+      asked: total.asked - (own?.get(name)?.asked ?? 0),
     }));
   }
 }
@@ -73,11 +72,11 @@
 
 function addCounts(
   table: UsageTable,
-  team: TeamId,
+  name: string,
   growth: UsageCounts,
 ): void {
-  const counts = table.get(team) ?? { admitted: 0, asked: 0 };
+  const counts = table.get(name) ?? { admitted: 0, asked: 0 };
   counts.admitted += growth.admitted;
   counts.asked += growth.asked;
-  table.set(team, counts);
+  table.set(name, counts);
 }
--- /dev/null
+++ b/src/services/forwarding/fleet_retry_budget.ts
@@ -0,0 +1,155 @@
+/**
+ * Second attempts that all VMs may make together.
+ *
+ * The pattern: bursts of failures that strike few VMs at a time. A fixed part
+ * of the fleet's budget for each VM runs out where the failures are while the
+ * others keep theirs; so the VMs exchange counts and each may spend its part of
+ * what all of them have left.
+ */
+import type { ServiceId } from "../../model/mod.ts";
+import type { Clock } from "../clock/mod.ts";
+import type { Usage, UsageSource } from "../fleet/mod.ts";
+import { SlidingCount } from "../quota/sliding_count.ts";
+import type { RetryBudget, RetryScope } from "./retry_budget.ts";
+
+/** Time after which all VMs have heard of a second attempt: two hubs' reports. */
+const UNHEARD_MS = 1_000;
+/** Time without counts after which the others are not reckoned with. */
+const ISOLATED_MS = 2_000;
+/** Part of the fleet's budget that is spent; the rest is for late counts. */
+const MARGIN_RATIO = 0.8;
+/**
+ * Part of the budget that must be left for VMs to spend without regard to each
+ * other. One second attempt for each request of {@linkcode UNHEARD_MS} fits in
+ * the rest of the users' share where that time is a tenth of the window.
+ */
+const AMPLE_RATIO = 0.4;
+
+/** What the budget is made of. */
+export interface FleetRetryParts {
+  readonly clock: Clock;
+  /** Counts the VMs that live, this one included. */
+  readonly countVms: () => number;
+  /** Second attempts that each request of a service allows. */
+  readonly ratio: number;
+  /** Second attempts beyond that in one window. */
+  readonly slack: number;
+  /** Length of the window, in milliseconds. */
+  readonly windowMs: number;
+}
+
+/** What is known of one service. */
+interface ServiceCounts {
+  /** Since the start, for the exchange. */
+  requests: number;
+  attempts: number;
+  readonly ownRequests: SlidingCount;
+  readonly ownAttempts: SlidingCount;
+  /** Own requests and second attempts that others may not have heard of. */
+  readonly unheardRequests: SlidingCount;
+  readonly unheard: SlidingCount;
+  readonly othersRequests: SlidingCount;
+  readonly othersAttempts: SlidingCount;
+}
+
+/** Holds the VMs' second attempts to a share of their requests. */
+export class FleetRetryBudget implements RetryBudget, UsageSource {
+  readonly #parts: FleetRetryParts;
+  readonly #services = new Map<ServiceId, ServiceCounts>();
+  readonly #others = new Map<ServiceId, Usage>();
+  #heardAt = -Infinity;
+
+  /** Creates a budget of which nothing is spent. */
+  constructor(parts: FleetRetryParts) {
+    this.#parts = parts;
+  }
+
+  recordRequest({ service }: RetryScope): void {
+    const counts = this.#getCounts(service);
+    counts.requests += 1;
+    const now = this.#parts.clock.now();
+    counts.ownRequests.add(1, now);
+    counts.unheardRequests.add(1, now);
+  }
+
+  recordAnswer(_scope: RetryScope): void {}
+
+  take({ service }: RetryScope): boolean {
+    const now = this.#parts.clock.now();
+    const counts = this.#getCounts(service);
+    if (!this.#hasLeft(counts, now)) return false;
+    counts.attempts += 1;
+    counts.ownAttempts.add(1, now);
+    counts.unheard.add(1, now);
+    return true;
+  }
+
+  listUsage(): readonly Usage[] {
+    return [...this.#services].map(([name, { requests, attempts }]) => ({
+      name,
+      admitted: attempts,
+      asked: requests,
+    }));
+  }
+
+  recordOthers(others: readonly Usage[], isFirst: boolean): void {
+    const now = this.#parts.clock.now();
+    this.#heardAt = now;
+    if (isFirst) this.#others.clear();
+    for (const usage of others) {
+      const before = this.#others.get(usage.name);
+      this.#others.set(usage.name, usage);
+      if (isFirst) continue;
+      const counts = this.#getCounts(usage.name);
+      const { admitted, asked } = before ?? { admitted: 0, asked: 0 };
+      counts.othersAttempts.add(usage.admitted - admitted, now);
+      counts.othersRequests.add(usage.asked - asked, now);
+    }
+  }
+
+  /**
+   * Whether this VM may make one more second attempt.
+   *
+   * What others have spent since their counts were heard is unknown. While
+   * much is left, each VM makes at most one second attempt for each of its
+   * requests; after that, it keeps to its part until all have heard of it.
+   */
+  #hasLeft(counts: ServiceCounts, now: number): boolean {
+    const vms = Math.max(1, this.#parts.countVms());
+    const ownRequests = counts.ownRequests.getTotal(now);
+    const ownAttempts = counts.ownAttempts.getTotal(now);
+    const slack = this.#parts.slack * MARGIN_RATIO;
+    const ratio = this.#parts.ratio * MARGIN_RATIO;
+    if (now - this.#heardAt > ISOLATED_MS) {
+      return ownAttempts + 1 <= ratio * ownRequests + slack / vms;
+    }
+    const requests = ownRequests + counts.othersRequests.getTotal(now);
+    const attempts = ownAttempts + counts.othersAttempts.getTotal(now);
+    const unheard = counts.unheard.getTotal(now);
+    const limit = ratio * requests + slack;
+    const left = limit - attempts;
+    if (left < 1) return false;
+    const isAmple = left >= limit * AMPLE_RATIO;
+    if (isAmple && unheard < counts.unheardRequests.getTotal(now)) return true;
+    const part = (left + unheard) / vms;
+    return unheard + 1 <= (left >= vms ? Math.max(1, part) : part);
+  }
+
+  #getCounts(service: ServiceId): ServiceCounts {
+    const existing = this.#services.get(service);
+    if (existing !== undefined) return existing;
+    const { windowMs } = this.#parts;
+    const created = {
+      requests: 0,
+      attempts: 0,
+      ownRequests: new SlidingCount(windowMs),
+      ownAttempts: new SlidingCount(windowMs),
+      unheardRequests: new SlidingCount(UNHEARD_MS),
+      unheard: new SlidingCount(UNHEARD_MS),
+      othersRequests: new SlidingCount(windowMs),
+      othersAttempts: new SlidingCount(windowMs),
+    };
+    this.#services.set(service, created);
+    return created;
+  }
+}
--- /dev/null
+++ b/src/services/forwarding/fleet_retry_budget_test.ts
@@ -0,0 +1,128 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { REPORT_MS, UsageExchange } from "../../../standins/usage_exchange.ts";
+import { createSeededRandom } from "../random/mod.ts";
+import { FleetRetryBudget } from "./fleet_retry_budget.ts";
+
+const WINDOW_MS = 10_000;
+const STEP_MS = 10;
+const RATIO = 0.2;
+const SLACK = 56;
+const VMS = 32;
+const SCOPE = { service: "rota", team: "" };
+
+interface Load {
+  readonly seed: number;
+  readonly seconds: number;
+  /** Requests a second of all VMs together. */
+  readonly perSecond: number;
+  /** Chance that a request needs a second attempt, at a time and a VM. */
+  readonly getNeed: (ms: number, vm: number) => number;
+}
+
+interface Result {
+  readonly needed: number;
+  readonly denied: number;
+  /** Most second attempts beyond the contract's share in any window. */
+  readonly worstExcess: number;
+}
+
+function runLoad(load: Load): Result {
+  let now = 0;
+  const clock = {
+    now: () => now,
+    wallNow: () => now,
+    startTimer: () => () => {},
+    sleep: () => Promise.resolve(),
+  };
+  const random = createSeededRandom(load.seed);
+  const budgets = Array.from({ length: VMS }, () =>
+    new FleetRetryBudget({
+      clock,
+      countVms: () => VMS,
+      ratio: RATIO,
+      slack: SLACK,
+      windowMs: WINDOW_MS,
+    }));
+  const exchange = new UsageExchange(budgets);
+  const requestedAt: number[] = [];
+  const repeatedAt: number[] = [];
+  let needed = 0;
+  let denied = 0;
+  for (; now < load.seconds * 1_000; now += STEP_MS) {
+    if (now % REPORT_MS === 0) exchange.sendReports();
+    const count = Math.floor(load.perSecond * STEP_MS / 1_000 + random());
+    for (let index = 0; index < count; index += 1) {
+      const vm = Math.floor(random() * VMS);
+      requestedAt.push(now);
+      budgets[vm]?.recordRequest(SCOPE);
+      if (random() >= load.getNeed(now, vm)) continue;
+      needed += 1;
+      if (budgets[vm]?.take(SCOPE)) repeatedAt.push(now);
+      else denied += 1;
+    }
+  }
+  const worstExcess = Math.max(...repeatedAt.map((end) => {
+    const countIn = (times: readonly number[]): number =>
+      times.filter((at) => at > end - WINDOW_MS && at <= end).length;
+    return countIn(repeatedAt) - RATIO * countIn(requestedAt) - SLACK;
+  }));
+  return { needed, denied, worstExcess };
+}
+
+for (const seed of [1, 2, 3]) {
+  test(`one service in five answers fails: no second attempt is denied (seed ${seed})`, () => {
+    const { needed, denied } = runLoad({
+      seed,
+      seconds: 30,
+      perSecond: 28,
+      getNeed: () => 0.16,
+    });
+    assert.ok(denied <= 0.01 * needed, `${denied} of ${needed}`);
+  });
+
+  test(`failures at few VMs: they spend what the others don't need (seed ${seed})`, () => {
+    const { needed, denied } = runLoad({
+      seed,
+      seconds: 30,
+      perSecond: 80,
+      getNeed: (_ms, vm) => vm < 4 ? 0.5 : 0.02,
+    });
+    assert.ok(denied <= 0.05 * needed, `${denied} of ${needed}`);
+  });
+
+  test(`everything fails at once: all VMs stay within the share (seed ${seed})`, () => {
+    for (const perSecond of [5, 30, 120]) {
+      const { worstExcess } = runLoad({
+        seed,
+        seconds: 30,
+        perSecond,
+        getNeed: (ms) => ms < 8_000 ? 0.02 : 1,
+      });
+      assert.ok(worstExcess <= 0, `${worstExcess} too many at ${perSecond}`);
+    }
+  });
+}
+
+test("a VM that hears nobody spends its own part alone", () => {
+  let now = 0;
+  const budget = new FleetRetryBudget({
+    clock: {
+      now: () => now,
+      wallNow: () => now,
+      startTimer: () => () => {},
+      sleep: () => Promise.resolve(),
+    },
+    countVms: () => VMS,
+    ratio: RATIO,
+    slack: SLACK,
+    windowMs: WINDOW_MS,
+  });
+  now = 5_000;
+  let taken = 0;
+  for (let index = 0; index < 40; index += 1) {
+    budget.recordRequest(SCOPE);
+    if (budget.take(SCOPE)) taken += 1;
+  }
+  assert.ok(taken >= 6 && taken <= RATIO * 40 + SLACK / VMS, `${taken}`);
+});
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -19,8 +19,7 @@
   Job,
 } from "./attempt_runner.ts";
 import { readRequestBody } from "./request_body.ts";
-import { RetryBudgets, RetryEarning } from "./retry_budget.ts";
-import type { RetryPolicy } from "./retry_budget.ts";
+import type { RetryBudget, RetryScope } from "./retry_budget.ts";
 
 /**
  * Time after which a second server is asked too, in multiples of the latency
@@ -41,7 +40,7 @@
   readonly admission: Admission;
   readonly random: Random;
   readonly logger: Logger;
-  readonly retryPolicy: RetryPolicy;
+  readonly retryBudget: RetryBudget;
 }
 
 /** An attempt that is under way. */
@@ -65,13 +64,11 @@
 /** Forwards requests to backend servers. */
 export class Forwarding {
   readonly #parts: ForwardingParts;
-  readonly #budgets: RetryBudgets;
   readonly #runner: AttemptRunner;
 
   /** Creates the service. */
   constructor(parts: ForwardingParts) {
     this.#parts = parts;
-    this.#budgets = new RetryBudgets(parts.retryPolicy);
     this.#runner = new AttemptRunner(parts);
   }
 
@@ -144,14 +141,14 @@
       refusal: this.#refuseUnavailable(plan),
       failedAnswer: undefined,
     };
-    this.#budgets.record(RetryEarning.Requests, ...this.#listBudgets(plan));
+    this.#parts.retryBudget.recordRequest(getScope(plan));
     const candidates = this.#parts.selection
       .selectServers(plan.service, plan.route.idempotency);
     for (const server of candidates) {
       if (!this.#admitAttempt(job, progress)) break;
       const result = await this.#runHedged(job, progress, server, candidates);
       if (isFinal(job, result)) {
-        this.#budgets.record(RetryEarning.Answers, ...this.#listBudgets(plan));
+        this.#parts.retryBudget.recordAnswer(getScope(plan));
         await this.#sendAnswer(job, result.accepted);
         return undefined;
       }
@@ -301,17 +298,17 @@
 
   #takeRetry(plan: RequestPlan): boolean {
     if (!plan.preset.retries) return false;
-    if (!this.#budgets.take(...this.#listBudgets(plan))) return false;
+    if (!this.#parts.retryBudget.take(getScope(plan))) {
+      this.#parts.logger.info("no second attempt is left", {
+        request: plan.attempt ?? "",
+        service: plan.service,
+      });
+      return false;
+    }
     this.#parts.metrics.add(Counter.Retries);
     return true;
   }
 
-  #listBudgets(plan: RequestPlan): string[] {
-    const service = `service ${plan.service}`;
-    if (!this.#parts.retryPolicy.isPerTeam) return [service];
-    return [service, `team ${plan.team?.id ?? ""}`];
-  }
-
   async #sendAnswer(job: Job, accepted: Accepted): Promise<void> {
     const { exchange, plan } = job;
     const { answer, body } = accepted;
@@ -342,6 +339,10 @@
   }
 }
 
+function getScope(plan: RequestPlan): RetryScope {
+  return { service: plan.service, team: plan.team?.id ?? "" };
+}
+
 /** Refuses by the newest failure, but says `not run` only if none may have run. */
 function createFailureRefusal(
   result: Exclude<AttemptResult, { kind: OutcomeKind.Answered }>,
--- a/src/services/forwarding/retry_budget.ts
+++ b/src/services/forwarding/retry_budget.ts
@@ -1,86 +1,52 @@
 /** Retry budgets: a share of the requests, so that retries can't add up. */
+import type { ServiceId, TeamId } from "../../model/mod.ts";
 
-/** What earns retries. */
-export enum RetryEarning {
-  /** Each request that was answered. */
-  Answers = "answers",
-  /** Each request that was dispatched, however it ended. */
-  Requests = "requests",
+/** Whose budget an event belongs to. */
+export interface RetryScope {
+  readonly service: ServiceId;
+  /** Empty for callers without a team. */
+  readonly team: TeamId;
 }
 
-/** How many retries this VM may spend. */
-export interface RetryPolicy {
-  readonly earning: RetryEarning;
-  /** Retries that each event of {@linkcode earning} earns. */
-  readonly ratio: number;
-  /** Gets the most retries that may be spent at once. */
-  readonly getBurst: () => number;
-  /** Whether each team has a budget of its own besides that of the service. */
-  readonly isPerTeam: boolean;
+/** Decides on second attempts, retries and hedges alike. */
+export interface RetryBudget {
+  /** Records that a request is dispatched, however it ends. */
+  recordRequest(scope: RetryScope): void;
+  /** Records that a request was answered. */
+  recordAnswer(scope: RetryScope): void;
+  /** Takes one second attempt; false when the budget has none left. */
+  take(scope: RetryScope): boolean;
 }
 
-/** Tokens of one service or team. */
-export class RetryBudget {
-  readonly #policy: RetryPolicy;
-  #tokens: number;
-
-  /** Creates a full budget. */
-  constructor(policy: RetryPolicy) {
-    this.#policy = policy;
-    this.#tokens = policy.getBurst();
-  }
-
-  /** Retries that may be spent now. */
-  get tokens(): number {
-    return this.#tokens;
-  }
-
-  /** Adds the share that one event earns. */
-  add(): void {
-    const { ratio, getBurst } = this.#policy;
-    this.#tokens = Math.min(getBurst(), this.#tokens + ratio);
-  }
-
-  /** Whether a retry may be spent. */
-  hasToken(): boolean {
-    return this.#tokens >= 1;
-  }
-
-  /** Takes one retry; call {@linkcode hasToken} first. */
-  take(): void {
-    this.#tokens -= 1;
-  }
+/** What a budget of tokens is made of. */
+export interface TokenBudgetOptions {
+  /** Tokens that each answered request earns. */
+  readonly ratio: number;
+  /** Most tokens that may be saved up. */
+  readonly burst: number;
 }
 
-/** Budgets by name, for services and teams. */
-export class RetryBudgets {
-  readonly #policy: RetryPolicy;
-  readonly #budgets = new Map<string, RetryBudget>();
-
-  /** Creates budgets that are made at their first use. */
-  constructor(policy: RetryPolicy) {
-    this.#policy = policy;
-  }
-
-  /** Records an event for each name. */
-  record(earning: RetryEarning, ...names: readonly string[]): void {
-    if (earning !== this.#policy.earning) return;
-    for (const name of names) this.#getBudget(name).add();
-  }
-
-  /** Takes one retry from every name, or from none if one has run out. */
-  take(...names: readonly string[]): boolean {
-    const budgets = names.map((name) => this.#getBudget(name));
-    if (!budgets.every((budget) => budget.hasToken())) return false;
-    for (const budget of budgets) budget.take();
-    return true;
-  }
-
-  #getBudget(name: string): RetryBudget {
-    const existing = this.#budgets.get(name);
-    if (existing !== undefined) return existing;
-    const created = new RetryBudget(this.#policy);
-    this.#budgets.set(name, created);
-    return created;
-  }
+/** Creates a budget of this VM alone: tokens of each service and each team. */
+export function createTokenBudget(options: TokenBudgetOptions): RetryBudget {
+  const tokens = new Map<string, number>();
+  const getTokens = (name: string): number => tokens.get(name) ?? options.burst;
+  const listNames = ({ service, team }: RetryScope): string[] => [
+    `service ${service}`,
+    `team ${team}`,
+  ];
+  return {
+    recordRequest: () => {},
+    recordAnswer: (scope) => {
+      for (const name of listNames(scope)) {
+        const earned = getTokens(name) + options.ratio;
+        tokens.set(name, Math.min(options.burst, earned));
+      }
+    },
+    take: (scope) => {
+      const names = listNames(scope);
+      if (names.some((name) => getTokens(name) < 1)) return false;
+      for (const name of names) tokens.set(name, getTokens(name) - 1);
+      return true;
+    },
+  };
 }
--- a/src/services/quota/mod.ts
+++ b/src/services/quota/mod.ts
@@ -1,7 +1,7 @@
 /** Quota service: a team's rate and burst over all VMs together. */
 import type { Preset, Team, TeamId } from "../../model/mod.ts";
 import type { Clock } from "../clock/mod.ts";
-import type { TeamUsage, UsageSource } from "../fleet/mod.ts";
+import type { Usage, UsageSource } from "../fleet/mod.ts";
 import { BucketDecisionKind, TeamBucket } from "./team_bucket.ts";
 import type { BucketLimits } from "./team_bucket.ts";
 import { LimitKind } from "./team_limiter.ts";
@@ -29,7 +29,7 @@
   readonly #parts: QuotaParts;
   readonly #teams = new Map<TeamId, TeamEntry>();
   /** Counts of the other VMs that were last heard. */
-  readonly #others = new Map<TeamId, TeamUsage>();
+  readonly #others = new Map<TeamId, Usage>();
   #heardAt = -Infinity;
   readonly #startedAt: number;
 
@@ -43,23 +43,23 @@
     return Promise.resolve(this.#takeOne(team, preset));
   }
 
-  listUsage(): readonly TeamUsage[] {
-    return [...this.#teams].map(([team, { admitted, asked }]) => ({
-      team,
+  listUsage(): readonly Usage[] {
+    return [...this.#teams].map(([name, { admitted, asked }]) => ({
+      name,
       admitted,
       asked,
     }));
   }
 
-  recordOthers(others: readonly TeamUsage[], isFirst: boolean): void {
+  recordOthers(others: readonly Usage[], isFirst: boolean): void {
     const now = this.#parts.clock.now();
     this.#heardAt = now;
     if (isFirst) this.#others.clear();
     for (const counts of others) {
-      const before = this.#others.get(counts.team);
-      this.#others.set(counts.team, counts);
+      const before = this.#others.get(counts.name);
+      this.#others.set(counts.name, counts);
       if (isFirst) continue;
-      this.#teams.get(counts.team)?.bucket.recordOthers(
+      this.#teams.get(counts.name)?.bucket.recordOthers(
         counts.admitted - (before?.admitted ?? 0),
         counts.asked - (before?.asked ?? 0),
         now,
--- a/src/services/quota/quota_test.ts
+++ b/src/services/quota/quota_test.ts
@@ -2,8 +2,7 @@
 import { test } from "node:test";
 import { PresetName } from "../../model/mod.ts";
 import type { Preset, Team } from "../../model/mod.ts";
-import type { TeamUsage } from "../fleet/mod.ts";
-import { UsageLedger } from "../fleet/usage_ledger.ts";
+import { REPORT_MS, UsageExchange } from "../../../standins/usage_exchange.ts";
 import { createSeededRandom } from "../random/mod.ts";
 import { Quota } from "./mod.ts";
 import { LimitKind } from "./team_limiter.ts";
@@ -12,10 +11,6 @@
 /** Tolerance of the users' contract: a tenth, and twenty requests. */
 const OVERSHOOT = 0.1;
 const SLACK = 20;
-/** Time between two reports of a hub, as the fleet sends them. */
-const REPORT_MS = 250;
-/** Reports after which counts of another domain have arrived. */
-const REPORTS_LATE = 2;
 const STEP_MS = 10;
 /** Time until all VMs know of callers that are new; not counted as refused. */
 const WARM_UP_MS = 2_000;
@@ -68,31 +63,18 @@
     { length: load.vms },
     () => new Quota({ clock, countVms: () => load.vms }),
   );
-  let ledger = new UsageLedger();
-  const late: (readonly TeamUsage[])[][] = [];
-  const exchange = (isFirst: boolean): void => {
-    late.push(quotas.map((quota) => quota.listUsage()));
-    if (late.length > REPORTS_LATE) {
-      late.shift()?.forEach((usage, vm) => ledger.record(`${vm}`, usage));
-    }
-    quotas.forEach((quota, vm) =>
-      quota.recordOthers(ledger.listOthers(`${vm}`), isFirst)
-    );
-  };
-  exchange(true);
+  let exchange = new UsageExchange(quotas);
   const admittedAt: number[] = [];
   let asked = 0;
   let refused = 0;
   for (; now < load.seconds * 1_000; now += STEP_MS) {
     if (now === load.restartAt) {
-      ledger = new UsageLedger();
-      late.length = 0;
       quotas.forEach((_quota, vm) => {
         quotas[vm] = new Quota({ clock, countVms: () => load.vms });
       });
-      exchange(true);
+      exchange = new UsageExchange(quotas);
     }
-    if (now % REPORT_MS === 0) exchange(false);
+    if (now % REPORT_MS === 0) exchange.sendReports();
     const expected = load.getRate(now) * STEP_MS / 1_000;
     const count = Math.floor(expected + random());
     for (let index = 0; index < count; index += 1) {
--- a/src/settings/daemon_settings.ts
+++ b/src/settings/daemon_settings.ts
@@ -68,6 +68,8 @@
   readonly retryRatio: number;
   /** Retries of the whole fleet beyond the ratio, in one window. */
   readonly retrySlack: number;
+  /** Window in which retries are counted, in milliseconds. */
+  readonly retryWindowMs: number;
   /** Least severe level that is logged. */
   readonly logLevel: LogLevel;
   /** Form of log lines. */
@@ -189,6 +191,11 @@
     schema: countSchema,
     fallback: "50",
   },
+  "retry-window-ms": {
+    description: "window in which retries are counted, like 10000 or 10s",
+    schema: durationSchema,
+    fallback: "10000",
+  },
   "settings": {
     description: "path of the platform's settings file; it is not read",
     schema: z.string(),
@@ -251,6 +258,7 @@
       graceMs: values["grace-ms"],
       retryRatio: values["retry-ratio"],
       retrySlack: values["retry-slack"],
+      retryWindowMs: values["retry-window-ms"],
       logLevel: values["log-level"],
       logFormat: values["log-format"],
     }),
