Tell loads within 80 ms instead of with the reports

What a VM knows of the others' requests in flight was 250 to 1,000 ms old, longer than the work takes.

Change: changes alone of what is in flight are looked for each 40 ms, told to other domains at each third look, and bounded by links. Four servers of each group are drawn; a latency counts less, one more request in flight counts more.

--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -80,6 +80,7 @@
         scope.runTask((signal) => fleet.runDirectory(signal));
         scope.runTask((signal) => fleet.runUplink(signal));
         scope.runTask((signal) => fleet.runBeats(signal));
+        scope.runTask((signal) => fleet.runLoads(signal));
       });
       scope.addStop(() => transport.close());
       return fleet;
@@ -87,9 +88,8 @@
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.LoadExchange,
-    needs: [ServiceName.Clock, ServiceName.Fleet],
-    create: (find) =>
-      createFleetLoads(find(ServiceName.Fleet), find(ServiceName.Clock)),
+    needs: [ServiceName.Fleet],
+    create: (find) => createFleetLoads(find(ServiceName.Fleet)),
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.EvidenceExchange,
--- a/src/protocols/fleet/message_codec.ts
+++ b/src/protocols/fleet/message_codec.ts
@@ -66,22 +66,20 @@
     sentAt: z.number(),
     phase: z.enum(VmPhase),
     usage: z.array(usage),
-    load,
   }),
   z.object({
     kind: z.literal(FleetMessageKind.Report),
     confirmation: confirmation.optional(),
     others: z.array(usage),
-    load,
     vms: z.array(liveVm).optional(),
     serversDigest: count,
   }),
   z.object({
     kind: z.literal(FleetMessageKind.DomainReport),
     usage: z.array(usage),
-    load,
     vms: z.array(liveVm).optional(),
   }),
+  z.object({ kind: z.literal(FleetMessageKind.Load), load }),
   z.object({
     kind: z.literal(FleetMessageKind.VmsKnown),
     vms: z.array(vmEntry),
@@ -133,22 +131,21 @@
       return {
         ...message,
         usage: message.usage.map(encodeUsage),
-        load: message.load.map(encodeInFlight),
       };
     case FleetMessageKind.Report:
       return {
         ...message,
         others: message.others.map(encodeUsage),
-        load: message.load.map(encodeInFlight),
         vms: message.vms?.map(encodeVm),
       };
     case FleetMessageKind.DomainReport:
       return {
         ...message,
         usage: message.usage.map(encodeUsage),
-        load: message.load.map(encodeInFlight),
         vms: message.vms?.map(encodeVm),
       };
+    case FleetMessageKind.Load:
+      return { ...message, load: message.load.map(encodeInFlight) };
     case FleetMessageKind.Hello:
     case FleetMessageKind.Alive:
     case FleetMessageKind.VmsKnown:
--- a/src/services/fleet/exchange.ts
+++ b/src/services/fleet/exchange.ts
@@ -4,12 +4,13 @@
 import type { Clock } from "../clock/mod.ts";
 import { LinkKind } from "./link.ts";
 import type { Link } from "./link.ts";
-import { LoadTable } from "./load_table.ts";
+import { addLoad, LoadTable } from "./load_table.ts";
+import type { LoadByServer } from "../selection/load_exchange.ts";
 import { FleetMessageKind } from "./message.ts";
 import type {
   DomainReport,
-  InFlight,
   LiveVm,
+  LoadChanges,
   Report,
   Status,
   Usage,
@@ -45,10 +46,10 @@
 
 /** Knows what this VM has in flight and hears of the others'. */
 export interface LoadSource {
-  /** Lists what this VM has in flight. */
-  listInFlight(): readonly InFlight[];
-  /** Takes what all other VMs have in flight together. */
-  recordOthers(load: readonly InFlight[]): void;
+  /** Counts what this VM has in flight. */
+  countInFlight(): LoadByServer;
+  /** Takes what all other VMs have in flight; undefined if nobody tells it. */
+  recordOthers(load: LoadByServer | undefined): void;
 }
 
 /** What the exchange works with. */
@@ -78,6 +79,8 @@
   readonly #domainLoad = new LoadTable();
   /** What the other domains have in flight. */
   readonly #foreignLoad = new LoadTable();
+  /** What the hub says that all other VMs have in flight. */
+  readonly #hubLoad = new LoadTable();
   readonly #domains = new Map<string, DomainView>();
   readonly #reportedLinks = new WeakSet<Link>();
   #serversDigest = 0;
@@ -130,12 +133,10 @@
 
   /** Takes note of this VM's own counts and of who lives, before a beat. */
   recordOwn(): void {
-    const now = this.#parts.clock.now();
     const { self } = this.#parts;
     this.#updateVmsVersion();
     this.#serversDigest = this.#confirmations?.getServersDigest() ?? 0;
     this.#domainUsage.record(formatOrigin(self), this.#listUsage());
-    this.#domainLoad.record(self.name, this.#load?.listInFlight() ?? [], now);
     this.#recordOthersAsHub();
   }
 
@@ -152,6 +153,7 @@
     if (link.kind === LinkKind.FromHub && !hasOther) {
       this.#domains.delete(failureDomain);
     }
+    this.#removeLoad(link);
   }
 
   /** Creates what a follower tells its hub. */
@@ -161,7 +163,6 @@
       sentAt: this.#parts.clock.now(),
       phase: this.#getPhase(),
       usage: link.takeChangedUsage(this.#listUsage()),
-      load: this.#load?.listInFlight() ?? [],
     };
   }
 
@@ -175,19 +176,79 @@
       kind: FleetMessageKind.Report,
       confirmation: this.#createConfirmation(link),
       others: link.takeChangedUsage(others),
-      load: this.#sumOthersLoad(link.vm.name),
       vms: this.#takeVms(link, () => this.listVms()),
       serversDigest: this.#serversDigest,
     };
   }
 
+  /** Creates what a link is told of loads; undefined if nothing has changed. */
+  createLoadChanges(link: Link): LoadChanges | undefined {
+    const load = link.takeChangedLoad(this.#sumLoadFor(link));
+    return load.length === 0
+      ? undefined
+      : { kind: FleetMessageKind.Load, load };
+  }
+
+  #sumLoadFor(link: Link): LoadByServer {
+    switch (link.kind) {
+      case LinkKind.Uplink:
+        return this.#load?.countInFlight() ?? new Map();
+      case LinkKind.Follower:
+        return this.#sumOthersLoad(link.vm.name);
+      case LinkKind.ToHub:
+        return this.#domainLoad.sumOthers("");
+      case LinkKind.FromHub:
+      case LinkKind.Visitor:
+        return new Map();
+    }
+  }
+
   /** Sums what all VMs but one have in flight. */
-  #sumOthersLoad(vm: VmName): InFlight[] {
-    const now = this.#parts.clock.now();
-    const sum = new LoadTable();
-    sum.record("domain", this.#domainLoad.sumOthers(vm, now), now);
-    sum.record("others", this.#foreignLoad.sumOthers("", now), now);
-    return sum.sumOthers("", now);
+  #sumOthersLoad(vm: VmName): LoadByServer {
+    const sums = this.#domainLoad.sumOthers(vm);
+    addLoad(sums, this.#foreignLoad.sumOthers(""));
+    return sums;
+  }
+
+  /** Takes note of this VM's own load and tells it that of the others. */
+  recordOwnLoad(): void {
+    const own = this.#load?.countInFlight() ?? new Map();
+    this.#domainLoad.replace(this.#parts.self.name, own);
+    if (!this.#parts.isHub()) return;
+    this.#load?.recordOthers(this.#sumOthersLoad(this.#parts.self.name));
+  }
+
+  /** Takes what the other end of a link has in flight. */
+  applyLoadChanges({ load }: LoadChanges, link: Link): void {
+    switch (link.kind) {
+      case LinkKind.Uplink:
+        this.#hubLoad.applyChanges(link.vm.name, load);
+        this.#load?.recordOthers(this.#hubLoad.sumOthers(""));
+        return;
+      case LinkKind.Follower:
+        return this.#domainLoad.applyChanges(link.vm.name, load);
+      case LinkKind.FromHub:
+        return this.#foreignLoad.applyChanges(formatOrigin(link.vm), load);
+      case LinkKind.ToHub:
+      case LinkKind.Visitor:
+        return;
+    }
+  }
+
+  #removeLoad(link: Link): void {
+    switch (link.kind) {
+      case LinkKind.Uplink:
+        this.#hubLoad.remove(link.vm.name);
+        this.#load?.recordOthers(undefined);
+        return;
+      case LinkKind.Follower:
+        return this.#domainLoad.remove(link.vm.name);
+      case LinkKind.FromHub:
+        return this.#foreignLoad.remove(formatOrigin(link.vm));
+      case LinkKind.ToHub:
+      case LinkKind.Visitor:
+        return;
+    }
   }
 
   #createConfirmation(link: Link): Report["confirmation"] {
@@ -207,7 +268,6 @@
     return {
       kind: FleetMessageKind.DomainReport,
       usage: link.takeChangedUsage(this.#domainUsage.listOthers("")),
-      load: this.#domainLoad.sumOthers("", this.#parts.clock.now()),
       vms: this.#takeVms(link, () => this.#listDomain()),
     };
   }
@@ -230,8 +290,6 @@
     link.status = { sentAt: status.sentAt, at: this.#parts.clock.now() };
     this.#phases.set(link.vm.name, status.phase);
     this.#domainUsage.record(formatOrigin(link.vm), status.usage);
-    const now = this.#parts.clock.now();
-    this.#domainLoad.record(link.vm.name, status.load, now);
   }
 
   /** Takes the hub's report. */
@@ -239,7 +297,6 @@
     if (report.vms !== undefined) this.#toldVms = report.vms;
     this.#recordOthersUsage(report.others, !this.#reportedLinks.has(link));
     this.#reportedLinks.add(link);
-    this.#load?.recordOthers(report.load);
     this.#confirmations?.checkServersDigest(report.serversDigest, link);
     const { confirmation } = report;
     if (confirmation === undefined) return;
@@ -253,7 +310,6 @@
     const vms = report.vms ?? this.#domains.get(domain)?.vms ?? [];
     this.#domains.set(domain, { vms, at: this.#parts.clock.now() });
     this.#foreignUsage.record(formatOrigin(link.vm), report.usage);
-    this.#foreignLoad.record(domain, report.load, this.#parts.clock.now());
   }
 
   #recordOthersAsHub(): void {
@@ -267,7 +323,6 @@
     );
     this.#recordOthersUsage(others, this.#isFirstAsHub);
     this.#isFirstAsHub = false;
-    this.#load?.recordOthers(this.#sumOthersLoad(this.#parts.self.name));
   }
 
   /** Lists this VM's counts of all kinds. */
--- a/src/services/fleet/link.ts
+++ b/src/services/fleet/link.ts
@@ -1,7 +1,15 @@
 /** A link to one other VM, and what was told over it. */
+import type { ServerId } from "../../model/mod.ts";
+import type { LoadByServer } from "../selection/load_exchange.ts";
 import type { PeerConnection } from "../membership/transport.ts";
 import { FleetMessageKind, FleetRole } from "./message.ts";
-import type { FleetMessage, Hello, Usage, VmEntry } from "./message.ts";
+import type {
+  FleetMessage,
+  Hello,
+  InFlight,
+  Usage,
+  VmEntry,
+} from "./message.ts";
 
 /** What this end of a link is for. */
 export enum LinkKind {
@@ -31,6 +39,7 @@
   status: { readonly sentAt: number; readonly at: number } | undefined;
   readonly #connection: PeerConnection<FleetMessage>;
   readonly #sentUsage = new Map<string, Usage>();
+  #sentLoad: LoadByServer = new Map<ServerId, number>();
 
   /** Creates a link over a connection whose other end said hello. */
   constructor(
@@ -56,6 +65,21 @@
     this.#connection.close();
   }
 
+  /** Lists the servers whose load differs from that last taken, and notes it. */
+  takeChangedLoad(load: LoadByServer): InFlight[] {
+    const changes: InFlight[] = [];
+    for (const [server, inFlight] of load) {
+      if (this.#sentLoad.get(server) !== inFlight) {
+        changes.push({ server, inFlight });
+      }
+    }
+    for (const server of this.#sentLoad.keys()) {
+      if (!load.has(server)) changes.push({ server, inFlight: 0 });
+    }
+    this.#sentLoad = load;
+    return changes;
+  }
+
   /** Lists the counts that differ from those last taken, and notes them. */
   takeChangedUsage(usage: readonly Usage[]): Usage[] {
     return usage.filter((counts) => {
--- a/src/services/fleet/load_table.ts
+++ b/src/services/fleet/load_table.ts
@@ -1,40 +1,48 @@
 /** Requests in flight at backend servers, as VMs and domains report them. */
 import type { ServerId } from "../../model/mod.ts";
+import type { LoadByServer } from "../selection/load_exchange.ts";
 import type { InFlight } from "./message.ts";
 
-/** Time for which a report counts; requests come and go in less. */
-const REPORT_LIFETIME_MS = 1_500;
+/** Keeps what each sender has in flight. */
+export class LoadTable {
+  readonly #senders = new Map<string, Map<ServerId, number>>();
 
-interface Entry {
-  readonly load: readonly InFlight[];
-  readonly at: number;
-}
+  /** Applies the changes that a sender reports. */
+  applyChanges(sender: string, changes: readonly InFlight[]): void {
+    const load = this.#senders.get(sender) ?? new Map<ServerId, number>();
+    this.#senders.set(sender, load);
+    for (const { server, inFlight } of changes) {
+      if (inFlight === 0) load.delete(server);
+      else load.set(server, inFlight);
+    }
+  }
 
-/** Keeps the newest report of each sender. */
-export class LoadTable {
-  readonly #reports = new Map<string, Entry>();
+  /** Takes what a sender has in flight. */
+  replace(sender: string, load: LoadByServer): void {
+    this.#senders.set(sender, new Map(load));
+  }
 
-  /** Records what a sender has in flight at `now`. */
-  record(sender: string, load: readonly InFlight[], now: number): void {
-    this.#reports.set(sender, { load, at: now });
+  /** Forgets a sender that can't be heard any more. */
+  remove(sender: string): void {
+    this.#senders.delete(sender);
   }
 
-  /** Sums the reports that still count, but that of one sender. */
-  sumOthers(sender: string, now: number): InFlight[] {
+  /** Sums what all senders but one have in flight. */
+  sumOthers(sender: string): Map<ServerId, number> {
     const sums = new Map<ServerId, number>();
-    for (const [name, { load, at }] of this.#reports) {
-      if (now - at > REPORT_LIFETIME_MS) this.#reports.delete(name);
-      else if (name !== sender) addLoad(sums, load);
+    for (const [name, load] of this.#senders) {
+      if (name !== sender) addLoad(sums, load);
     }
-    return [...sums].map(([server, inFlight]) => ({ server, inFlight }));
+    return sums;
   }
 }
 
-function addLoad(
+/** Adds one load to sums. */
+export function addLoad(
   sums: Map<ServerId, number>,
-  load: readonly InFlight[],
+  load: LoadByServer,
 ): void {
-  for (const { server, inFlight } of load) {
+  for (const [server, inFlight] of load) {
     sums.set(server, (sums.get(server) ?? 0) + inFlight);
   }
 }
--- a/src/services/fleet/message.ts
+++ b/src/services/fleet/message.ts
@@ -17,6 +17,7 @@
   Status = "s",
   Report = "r",
   DomainReport = "d",
+  Load = "o",
   VmsKnown = "v",
   Evidence = "e",
   Document = "c",
@@ -100,8 +101,6 @@
   readonly phase: VmPhase;
   /** Counts that have changed since the last status. */
   readonly usage: readonly Usage[];
-  /** What the sender has in flight now. */
-  readonly load: readonly InFlight[];
 }
 
 /** A confirmation that no newer configuration existed, passed on. */
@@ -121,8 +120,6 @@
   readonly confirmation: PassedConfirmation | undefined;
   /** Counts of all other VMs together, since the link was opened. */
   readonly others: readonly Usage[];
-  /** What all other VMs together have in flight. */
-  readonly load: readonly InFlight[];
   /** All VMs that live; undefined when that has not changed. */
   readonly vms: readonly LiveVm[] | undefined;
   /** Digest of the hub's servers. */
@@ -133,12 +130,19 @@
 export interface DomainReport {
   readonly kind: FleetMessageKind.DomainReport;
   readonly usage: readonly Usage[];
-  /** What the VMs of the domain have in flight. */
-  readonly load: readonly InFlight[];
   /** VMs of the domain that live; undefined when that has not changed. */
   readonly vms: readonly LiveVm[] | undefined;
 }
 
+/**
+ * What the sender's side has in flight: a follower's own, a hub's of all others,
+ * or a domain's. Servers alone whose number differs from what was sent before.
+ */
+export interface LoadChanges {
+  readonly kind: FleetMessageKind.Load;
+  readonly load: readonly InFlight[];
+}
+
 /** VMs that have announced themselves, dead ones included. */
 export interface VmsKnown {
   readonly kind: FleetMessageKind.VmsKnown;
@@ -193,6 +197,7 @@
   | Status
   | Report
   | DomainReport
+  | LoadChanges
   | VmsKnown
   | FleetEvidence
   | DocumentRelay
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -45,6 +45,16 @@
 const STATUS_INTERVAL_MS = 250;
 /** Time between two reports to another domain's hub; those bytes are paid. */
 const DOMAIN_INTERVAL_MS = 500;
+/**
+ * Shortest time between two looks whether loads have changed. Requests take some
+ * hundred milliseconds; on older counts the VMs crowd the same servers.
+ */
+const LOAD_INTERVAL_MS = 40;
+/** Changes of load that a hub sends in one second, to bound its work. */
+const LOAD_SENDS_PER_SECOND = 400;
+/** Looks after which another domain's hub is told; those bytes are paid. */
+const DOMAIN_LOAD_LOOKS = 3;
+const MS_PER_SECOND = 1_000;
 /** Time without a message after which a link is given up. */
 const SILENCE_LIMIT_MS = 1_500;
 /** The same for the hub, whose reports come more often. */
@@ -240,6 +250,24 @@
     }
   }
 
+  /** Tells changes of what is in flight, much sooner than all else. */
+  async runLoads(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#parts;
+    let looks = 0;
+    while (!signal.aborted) {
+      looks += 1;
+      this.#exchange.recordOwnLoad();
+      for (const link of this.#links) {
+        const isPaid = link.kind === LinkKind.ToHub;
+        if (isPaid && looks % DOMAIN_LOAD_LOOKS !== 0) continue;
+        const changes = this.#exchange.createLoadChanges(link);
+        if (changes !== undefined) link.send(changes);
+      }
+      const sendMs = this.#links.size * MS_PER_SECOND / LOAD_SENDS_PER_SECOND;
+      await clock.sleep(Math.max(LOAD_INTERVAL_MS, sendMs), signal);
+    }
+  }
+
   #listCandidates(): VmEntry[] {
     const { self, clock } = this.#parts;
     return this.#list.listCandidates(self.failureDomain, clock.now(), self);
@@ -379,6 +407,8 @@
         return this.#exchange.applyReport(message, link);
       case FleetMessageKind.DomainReport:
         return this.#exchange.applyDomainReport(message, link);
+      case FleetMessageKind.Load:
+        return this.#exchange.applyLoadChanges(message, link);
       case FleetMessageKind.VmsKnown:
         for (const vm of message.vms) this.#list.add(vm);
         return;
--- a/src/services/selection/mod.ts
+++ b/src/services/selection/mod.ts
@@ -7,7 +7,7 @@
 import type { Detector } from "../detector/mod.ts";
 import type { LoadReport } from "../forwarding/upstream.ts";
 import type { Random } from "../random/mod.ts";
-import type { LoadExchange, ServerCount } from "./load_exchange.ts";
+import type { LoadByServer, LoadExchange } from "./load_exchange.ts";
 import { ServerLoad } from "./server_load.ts";
 
 /** Latency assumed of a service without any experience, in milliseconds. */
@@ -31,6 +31,11 @@
 const FAR_RATIO = 0.25;
 /** A server that has just started works at about half of its speed. */
 const COLD_RATIO = 0.5;
+/**
+ * Servers drawn of the best and of the others. With loads as old as the fleet's
+ * exchange, more would crowd the same servers and fewer leave others idle.
+ */
+const DRAWN_OF_EACH = 4;
 /** Difference of penalties up to which servers are taken to be alike. */
 const ALIKE_RATIO = 0.2;
 
@@ -80,7 +85,7 @@
   /** Creates the service without any experience of servers. */
   constructor(parts: SelectionParts) {
     this.#parts = parts;
-    parts.loads.setSource(() => this.#listInFlight());
+    parts.loads.setSource(() => this.#countInFlight());
   }
 
   /**
@@ -198,8 +203,8 @@
   }
 
   /**
-   * Picks one of two random servers among those with the least penalty, unless
-   * one of two random others would answer sooner all the same.
+   * Picks one of a few random servers among those with the least penalty, unless
+   * one of as many random others would answer sooner all the same.
    */
   #pickOne(
     servers: readonly Server[],
@@ -216,7 +221,8 @@
       const isBest = candidate.penalty <= least + ALIKE_RATIO;
       (isBest ? best : rest).push(candidate);
     }
-    const drawn = [best, best, rest, rest]
+    const drawn = [best, rest]
+      .flatMap((group) => Array<Candidate[]>(DRAWN_OF_EACH).fill(group))
       .map((group) => this.#pickRandom(group))
       .filter((candidate) => candidate !== undefined);
     let picked: Server | undefined;
@@ -257,10 +263,10 @@
     return waitMs / ramp;
   }
 
-  #listInFlight(): ServerCount[] {
-    const counts: ServerCount[] = [];
+  #countInFlight(): LoadByServer {
+    const counts = new Map<ServerId, number>();
     for (const [server, { inFlight }] of this.#loads) {
-      if (inFlight > 0) counts.push({ server, inFlight });
+      if (inFlight > 0) counts.set(server, inFlight);
     }
     return counts;
   }
--- /dev/null
+++ b/src/services/selection/selection_test.ts
@@ -0,0 +1,175 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { VirtualClock, VirtualTime } from "../../../standins/virtual_clock.ts";
+import { Idempotency, ServerPhase } from "../../model/mod.ts";
+import type { Server } from "../../model/mod.ts";
+import { Configuration } from "../configuration/mod.ts";
+import { ServerStanding } from "../detector/mod.ts";
+import type { Detector } from "../detector/mod.ts";
+import { LoadTable } from "../fleet/load_table.ts";
+import { createSeededRandom } from "../random/mod.ts";
+import type { Random } from "../random/mod.ts";
+import type { LoadByServer } from "./load_exchange.ts";
+import { Selection } from "./mod.ts";
+
+const VMS = 12;
+const SERVERS = 9;
+const SLOTS = 4;
+/** Work of a request: its mean, and the spread of its logarithm. */
+const WORK_MS = 250;
+const WORK_SPREAD = 0.8;
+const SERVICE = "rota";
+
+interface Waits {
+  readonly requests: number;
+  /** Requests that waited for a slot for longer than a tenth of their work. */
+  readonly waited: number;
+}
+
+/** A server whose requests wait in order for a slot. */
+class SlottedServer {
+  readonly #time: VirtualTime;
+  readonly #waiting: (() => void)[] = [];
+  #running = 0;
+
+  constructor(time: VirtualTime) {
+    this.#time = time;
+  }
+
+  /** Runs one request; resolves with the time that it waited for a slot. */
+  async run(workMs: number): Promise<number> {
+    const arrivedAt = this.#time.now;
+    if (this.#running >= SLOTS) {
+      await new Promise<void>((resolve) => this.#waiting.push(resolve));
+    } else this.#running += 1;
+    const waitedMs = this.#time.now - arrivedAt;
+    await new Promise<void>((resolve) => {
+      this.#time.startTimer(workMs, resolve);
+    });
+    const next = this.#waiting.shift();
+    if (next === undefined) this.#running -= 1;
+    else next();
+    return waitedMs;
+  }
+}
+
+function createDetector(): Detector {
+  const detector: Partial<Detector> = {
+    getStanding: () => ServerStanding.Admitted,
+    isDraining: () => false,
+    isSuspect: () => false,
+    getFaultChance: () => 0,
+    getAdmittedMs: () => Infinity,
+    getTestIntervalMs: () => Infinity,
+  };
+  return detector as Detector;
+}
+
+function createConfiguration(clock: VirtualClock): Configuration {
+  const configuration = new Configuration("cell", clock);
+  for (let index = 0; index < SERVERS; index += 1) {
+    configuration.setServer({
+      id: `server-${index}`,
+      service: SERVICE,
+      host: "h",
+      port: index,
+      failureDomain: "a",
+      slots: SLOTS,
+      phase: ServerPhase.Active,
+      revision: 1,
+    });
+  }
+  return configuration;
+}
+
+function computeWorkMs(random: Random): number {
+  const normal = Math.sqrt(-2 * Math.log(1 - random())) *
+    Math.cos(2 * Math.PI * random());
+  return WORK_MS * Math.exp(WORK_SPREAD * normal - WORK_SPREAD ** 2 / 2);
+}
+
+/** Lets VMs send to shared servers while each hears of the others late. */
+async function runLoad(given: {
+  readonly seed: number;
+  /** Part of all slots that the work needs. */
+  readonly utilization: number;
+  /** Time between two exchanges of loads. */
+  readonly exchangeMs: number;
+  /** Whether servers are picked at random instead. */
+  readonly isRandom?: boolean;
+}): Promise<Waits> {
+  const time = new VirtualTime();
+  const clock = new VirtualClock(time);
+  const random = createSeededRandom(given.seed);
+  const configuration = createConfiguration(clock);
+  const servers = new Map(
+    [...configuration.state.servers.keys()]
+      .map((id) => [id, new SlottedServer(time)]),
+  );
+  const table = new LoadTable();
+  const sources: (() => LoadByServer)[] = [];
+  const others: LoadByServer[] = [];
+  const selections = Array.from({ length: VMS }, (_vm, index) =>
+    new Selection({
+      configuration,
+      detector: createDetector(),
+      clock,
+      random,
+      failureDomain: "a",
+      loads: {
+        countOthers: (server) => others[index]?.get(server) ?? 0,
+        setSource: (countOwn) => void (sources[index] = countOwn),
+      },
+    }));
+  const listed = [...configuration.state.servers.values()];
+  const pickRandom = (): Server =>
+    listed[Math.floor(random() * SERVERS)] as Server;
+  let requests = 0;
+  let waited = 0;
+  const send = async (selection: Selection): Promise<void> => {
+    const server = given.isRandom
+      ? pickRandom()
+      : selection.selectServers(SERVICE, Idempotency.NonIdempotent)
+        .next().value as Server;
+    selection.recordStart(server.id);
+    const startedAt = time.now;
+    const waitedMs = await servers.get(server.id)?.run(computeWorkMs(random)) ??
+      0;
+    requests += 1;
+    if (waitedMs > WORK_MS / 10) waited += 1;
+    selection.recordEnd(server, {
+      latencyMs: time.now - startedAt,
+      load: undefined,
+      isShed: false,
+    });
+  };
+  const perMs = given.utilization * SERVERS * SLOTS / WORK_MS;
+  const endAt = 60_000;
+  const sendNext = (): void => {
+    const selection = selections[Math.floor(random() * VMS)];
+    if (time.now > endAt || selection === undefined) return;
+    void send(selection);
+    time.startTimer(-Math.log(1 - random()) / perMs, sendNext);
+  };
+  const exchange = (): void => {
+    sources.forEach((countOwn, vm) => table.replace(`${vm}`, countOwn()));
+    sources.forEach((_source, vm) => others[vm] = table.sumOthers(`${vm}`));
+    time.startTimer(given.exchangeMs, exchange);
+  };
+  sendNext();
+  exchange();
+  await time.advance(endAt);
+  return { requests, waited };
+}
+
+for (const seed of [1, 2, 3]) {
+  test(`crowding on stale loads: half as many wait as with random servers (seed ${seed})`, async () => {
+    const load = { seed, utilization: 0.75 };
+    // Two looks of the fleet's exchange: to the hub and back.
+    const told = await runLoad({ ...load, exchangeMs: 80 });
+    const random = await runLoad({ ...load, exchangeMs: 80, isRandom: true });
+    const share = told.waited / told.requests;
+    const randomShare = random.waited / random.requests;
+    assert.ok(share <= randomShare / 2, `${share} against ${randomShare}`);
+  });
+}
--- a/src/services/selection/server_load.ts
+++ b/src/services/selection/server_load.ts
@@ -2,11 +2,11 @@
 import type { LoadReport } from "../forwarding/upstream.ts";
 
 /** Weight of the newest latency in the moving average. */
-const LATENCY_WEIGHT = 0.2;
+const LATENCY_WEIGHT = 0.1;
 /** Time constant after which old experience counts no more. */
 const FADE_MS = 3_000;
 /** Part of a latency that a server with all slots but one in use adds. */
-const BUSY_RATIO = 0.25;
+const BUSY_RATIO = 0.5;
 /** Time for which a server that shed a request is taken to be full. */
 const FULL_MS = 300;
 
