Tell a path's faults from a server's

Change: a belief of the server, fed by all, and one of this VM's own path. What a path may have caused counts less for others, and once a message. What a fault costs a request that must run once goes by its odds, so that a mild suspicion does not crowd the others.

--- a/src/services/detector/baseline.ts
+++ b/src/services/detector/baseline.ts
@@ -14,7 +14,7 @@
 const LATENCIES_KEPT = 64;
 const LATENCIES_NEEDED = 8;
 /** A latency is slow above this multiple of the median, plus the margin. */
-const SLOW_FACTOR = 3;
+const SLOW_FACTOR = 4;
 const SLOW_MARGIN_MS = 5;
 /** Outcomes assumed healthy before there are any, so that shares are steady. */
 const PRIOR_TOTAL = 20;
--- a/src/services/detector/mod.ts
+++ b/src/services/detector/mod.ts
@@ -12,7 +12,7 @@
 import type { FloorView } from "./ejections.ts";
 import type { EvidenceExchange } from "./evidence_exchange.ts";
 import type { EvidenceOrigin, Tally } from "./sequential_test.ts";
-import { FaultSign } from "./fault_belief.ts";
+import type { Seen } from "./server_belief.ts";
 import { createWatch, isOverThreshold, OWN } from "./watch.ts";
 import type { Watch } from "./watch.ts";
 
@@ -45,6 +45,8 @@
   Refused = "refused",
   /** It broke off, or answered with an error of its own. */
   Failed = "failed",
+  /** No connection came about in time: the server or the path is dead. */
+  Unreached = "unreached",
   /** It says nothing: shed by contract, or cancelled by the caller. */
   Neutral = "neutral",
 }
@@ -152,6 +154,10 @@
         this.#addOwn(server, { good: 0, failed: 1, slow: 0 });
         this.#recordTrial(server, false);
         return;
+      case AttemptVerdict.Unreached:
+        this.#addOwn(server, this.#createUnreached());
+        this.#recordTrial(server, false);
+        return;
       case AttemptVerdict.Good: {
         const latencyMs = this.#parts.clock.now() - attempt.startedAt;
         const baseline = this.#getBaseline(server.service);
@@ -167,6 +173,15 @@
     }
   }
 
+  #createUnreached(): Seen {
+    switch (this.#parts.policy) {
+      case DetectionPolicy.Eject:
+        return { good: 0, failed: 1, slow: 0 };
+      case DetectionPolicy.Avoid:
+        return { good: 0, failed: 0, slow: 1 };
+    }
+  }
+
   /** Records that a server said that it drains, or no longer says so. */
   recordDraining(server: Server, isDraining: boolean): void {
     if (!isDraining) {
@@ -332,7 +347,7 @@
         return watch.failures.score + watch.slowness.score > 0;
       case DetectionPolicy.Avoid: {
         const now = this.#parts.clock.now();
-        return watch.belief.getChance(now) >= SUSPECT_CHANCE_MIN;
+        return watch.belief.getSharedChance(now) >= SUSPECT_CHANCE_MIN;
       }
     }
   }
@@ -402,9 +417,8 @@
     );
     const outcomes = { total, failed: seen.failed, slow: seen.slow };
     baseline.add(server.id, outcomes, now);
-    watch.belief.record(FaultSign.Success, seen.good, now);
-    watch.belief.record(FaultSign.Slowness, seen.slow, now);
-    watch.belief.record(FaultSign.Failure, seen.failed, now);
+    if (origin === OWN) watch.belief.recordOwn(seen, now);
+    else watch.belief.recordOthers(seen, now);
     this.#recordBelief(server, watch, origin, seen);
     if (this.#isEjecting()) this.#judge(server, watch);
   }
@@ -523,9 +537,3 @@
     return created;
   }
 }
-
-interface Seen {
-  readonly good: number;
-  readonly failed: number;
-  readonly slow: number;
-}
--- a/src/services/detector/watch.ts
+++ b/src/services/detector/watch.ts
@@ -1,5 +1,5 @@
 /** What one VM knows of one backend server, and when that is enough. */
-import { FaultBelief } from "./fault_belief.ts";
+import { ServerBelief } from "./server_belief.ts";
 import { SequentialTest } from "./sequential_test.ts";
 import type { EvidenceOrigin } from "./sequential_test.ts";
 
@@ -12,7 +12,7 @@
 const SHARED_RATIO = 0.25;
 /** What is known of one server. */
 export interface Watch {
-  readonly belief: FaultBelief;
+  readonly belief: ServerBelief;
   readonly failures: SequentialTest;
   readonly slowness: SequentialTest;
   /** Ejections in a row, by which the time until a trial doubles. */
@@ -28,7 +28,7 @@
 /** Creates the watch of a server that was first seen at `now`. */
 export function createWatch(now: number): Watch {
   return {
-    belief: new FaultBelief(now),
+    belief: new ServerBelief(now),
     failures: new SequentialTest(),
     slowness: new SequentialTest(),
     flaps: 0,
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -168,8 +168,9 @@
     case FailureKind.ConnectionRefused:
     case FailureKind.Misdirected:
       return AttemptVerdict.Refused;
-    case FailureKind.ConnectionLost:
     case FailureKind.TimedOut:
+      return AttemptVerdict.Unreached;
+    case FailureKind.ConnectionLost:
     case FailureKind.Truncated:
     case FailureKind.Crossed:
     case FailureKind.InvalidAnswer:
--- a/src/services/selection/mod.ts
+++ b/src/services/selection/mod.ts
@@ -25,8 +25,11 @@
 
 /** The failure of a request that can be sent again costs some of its time. */
 const REPEATABLE_FAILURE_RATIO = 2;
-/** Another request is lost whole. */
-const LOST_FAILURE_RATIO = 16;
+/**
+ * Another request is lost whole, by the odds of a fault: at even odds that costs
+ * as much as an answer that comes too late to be of use.
+ */
+const LOST_FAILURE_RATIO = 4;
 /** Bytes between failure domains are paid, and answers come later. */
 const FAR_RATIO = 0.25;
 /** A server that has just started works at about half of its speed. */
@@ -243,8 +246,8 @@
     const coldUntil = (server.listedAt ?? -Infinity) + (server.coldMs ?? 0);
     const far = server.failureDomain === failureDomain ? 0 : FAR_RATIO;
     const cold = clock.now() < coldUntil ? COLD_RATIO : 0;
-    const failure = getFailureRatio(idempotency);
-    return detector.getFaultChance(server) * failure + far + cold;
+    const chance = detector.getFaultChance(server);
+    return computeFailureRatio(idempotency, chance) + far + cold;
   }
 
   #pickRandom<T>(items: readonly T[]): T | undefined {
@@ -280,11 +283,15 @@
   }
 }
 
-function getFailureRatio(idempotency: Idempotency): number {
+/** Computes what the chance of a fault costs, in multiples of a latency. */
+function computeFailureRatio(
+  idempotency: Idempotency,
+  chance: number,
+): number {
   switch (idempotency) {
     case Idempotency.Idempotent:
-      return REPEATABLE_FAILURE_RATIO;
+      return REPEATABLE_FAILURE_RATIO * chance;
     case Idempotency.NonIdempotent:
-      return LOST_FAILURE_RATIO;
+      return LOST_FAILURE_RATIO * chance / (1 - chance);
   }
 }
