Spend second attempts where they serve

Change: where less than half is left, attempts go to the requests of the highest rank, suspects are not tested, and the first attempt of an idempotent request is placed as carefully as that of another; second attempts always are.

--- a/src/services/forwarding/fleet_retry_budget.ts
+++ b/src/services/forwarding/fleet_retry_budget.ts
@@ -4,7 +4,8 @@
  * The pattern: bursts of failures that strike few VMs at a time. A fixed part
  * of the fleet's budget for each VM runs out where the failures are while the
  * others keep theirs; so the VMs exchange counts and each may spend its part of
- * what all of them have left.
+ * what all of them have left. Where all servers shed at once and little is left,
+ * it goes to the requests of the highest rank.
  */
 import type { ServiceId } from "../../model/mod.ts";
 import type { Clock } from "../clock/mod.ts";
@@ -17,13 +18,13 @@
 /** Time without counts after which the others are not reckoned with. */
 const ISOLATED_MS = 2_000;
 /** Part of the fleet's budget that is spent; the rest is for late counts. */
-const MARGIN_RATIO = 0.8;
+const MARGIN_RATIO = 0.9;
 /**
  * Part of the budget that must be left for VMs to spend without regard to each
  * other. One second attempt for each request of {@linkcode UNHEARD_MS} fits in
  * the rest of the users' share where that time is a tenth of the window.
  */
-const AMPLE_RATIO = 0.4;
+const AMPLE_RATIO = 0.5;
 
 /** What the budget is made of. */
 export interface FleetRetryParts {
@@ -50,6 +51,15 @@
   readonly unheard: SlidingCount;
   readonly othersRequests: SlidingCount;
   readonly othersAttempts: SlidingCount;
+  /** Highest rank of this VM's requests, and when one had it last. */
+  highestRank: number;
+  highestRankAt: number;
+}
+
+/** Second attempts of one window. */
+interface Allowance {
+  readonly limit: number;
+  readonly left: number;
 }
 
 /** Holds the VMs' second attempts to a share of their requests. */
@@ -64,20 +74,32 @@
     this.#parts = parts;
   }
 
-  recordRequest({ service }: RetryScope): void {
+  recordRequest({ service, priority }: RetryScope): void {
     const counts = this.#getCounts(service);
     counts.requests += 1;
     const now = this.#parts.clock.now();
+    const isForgotten = now - counts.highestRankAt > this.#parts.windowMs;
+    if (isForgotten || priority <= counts.highestRank) {
+      counts.highestRank = priority;
+      counts.highestRankAt = now;
+    }
     counts.ownRequests.add(1, now);
     counts.unheardRequests.add(1, now);
   }
 
   recordAnswer(_scope: RetryScope): void {}
 
-  take({ service }: RetryScope): boolean {
+  isAmple({ service }: RetryScope): boolean {
+    const now = this.#parts.clock.now();
+    const { limit, left } = this.#computeLeft(this.#getCounts(service), now);
+    return left >= limit * AMPLE_RATIO;
+  }
+
+  take({ service, priority }: RetryScope): boolean {
     const now = this.#parts.clock.now();
     const counts = this.#getCounts(service);
-    if (!this.#hasLeft(counts, now)) return false;
+    const isUrgent = priority <= counts.highestRank;
+    if (!this.#hasLeft(counts, isUrgent, now)) return false;
     counts.attempts += 1;
     counts.ownAttempts.add(1, now);
     counts.unheard.add(1, now);
@@ -112,27 +134,40 @@
    *
    * What others have spent since their counts were heard is unknown. While
    * much is left, each VM makes at most one second attempt for each of its
-   * requests; after that, it keeps to its part until all have heard of it.
+   * requests; after that, it keeps to its part until all have heard of it, and
+   * makes second attempts for its most urgent requests alone.
    */
-  #hasLeft(counts: ServiceCounts, now: number): boolean {
-    const vms = Math.max(1, this.#parts.countVms());
+  #hasLeft(counts: ServiceCounts, isUrgent: boolean, now: number): boolean {
+    const { limit, left } = this.#computeLeft(counts, now);
+    if (left < 1) return false;
+    if (this.#isIsolated(now)) return true;
+    const unheard = counts.unheard.getTotal(now);
+    const isAmple = left >= limit * AMPLE_RATIO;
+    if (isAmple && unheard < counts.unheardRequests.getTotal(now)) return true;
+    if (!isAmple && !isUrgent) return false;
+    const vms = this.#parts.countVms();
+    const part = (left + unheard) / vms;
+    return unheard + 1 <= (left >= vms ? Math.max(1, part) : part);
+  }
+
+  /** Computes this window's limit and what is left, of the fleet if it is heard. */
+  #computeLeft(counts: ServiceCounts, now: number): Allowance {
     const ownRequests = counts.ownRequests.getTotal(now);
     const ownAttempts = counts.ownAttempts.getTotal(now);
     const slack = this.#parts.slack * MARGIN_RATIO;
     const ratio = this.#parts.ratio * MARGIN_RATIO;
-    if (now - this.#heardAt > ISOLATED_MS) {
-      return ownAttempts + 1 <= ratio * ownRequests + slack / vms;
+    if (this.#isIsolated(now)) {
+      const limit = ratio * ownRequests + slack / this.#parts.countVms();
+      return { limit, left: limit - ownAttempts };
     }
     const requests = ownRequests + counts.othersRequests.getTotal(now);
     const attempts = ownAttempts + counts.othersAttempts.getTotal(now);
-    const unheard = counts.unheard.getTotal(now);
     const limit = ratio * requests + slack;
-    const left = limit - attempts;
-    if (left < 1) return false;
-    const isAmple = left >= limit * AMPLE_RATIO;
-    if (isAmple && unheard < counts.unheardRequests.getTotal(now)) return true;
-    const part = (left + unheard) / vms;
-    return unheard + 1 <= (left >= vms ? Math.max(1, part) : part);
+    return { limit, left: limit - attempts };
+  }
+
+  #isIsolated(now: number): boolean {
+    return now - this.#heardAt > ISOLATED_MS;
   }
 
   #getCounts(service: ServiceId): ServiceCounts {
@@ -148,6 +183,8 @@
       unheard: new SlidingCount(UNHEARD_MS),
       othersRequests: new SlidingCount(windowMs),
       othersAttempts: new SlidingCount(windowMs),
+      highestRank: Infinity,
+      highestRankAt: -Infinity,
     };
     this.#services.set(service, created);
     return created;
--- a/src/services/forwarding/fleet_retry_budget_test.ts
+++ b/src/services/forwarding/fleet_retry_budget_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { REPORT_MS, UsageExchange } from "../../../standins/usage_exchange.ts";
+import type { Clock } from "../clock/mod.ts";
 import { createSeededRandom } from "../random/mod.ts";
 import { FleetRetryBudget } from "./fleet_retry_budget.ts";
 
@@ -9,7 +10,8 @@
 const RATIO = 0.2;
 const SLACK = 56;
 const VMS = 32;
-const SCOPE = { service: "rota", team: "" };
+const SCOPE = { service: "rota", team: "", priority: 1 };
+const LESS_URGENT = { ...SCOPE, priority: 2 };
 
 interface Load {
   readonly seed: number;
@@ -27,16 +29,17 @@
   readonly worstExcess: number;
 }
 
-function runLoad(load: Load): Result {
-  let now = 0;
-  const clock = {
-    now: () => now,
-    wallNow: () => now,
+function createClock(now: () => number): Clock {
+  return {
+    now,
+    wallNow: now,
     startTimer: () => () => {},
     sleep: () => Promise.resolve(),
   };
-  const random = createSeededRandom(load.seed);
-  const budgets = Array.from({ length: VMS }, () =>
+}
+
+function createBudgets(clock: Clock): FleetRetryBudget[] {
+  return Array.from({ length: VMS }, () =>
     new FleetRetryBudget({
       clock,
       countVms: () => VMS,
@@ -44,6 +47,12 @@
       slack: SLACK,
       windowMs: WINDOW_MS,
     }));
+}
+
+function runLoad(load: Load): Result {
+  let now = 0;
+  const random = createSeededRandom(load.seed);
+  const budgets = createBudgets(createClock(() => now));
   const exchange = new UsageExchange(budgets);
   const requestedAt: number[] = [];
   const repeatedAt: number[] = [];
@@ -104,25 +113,40 @@
   });
 }
 
+test("all servers shed for long: what is left goes to urgent requests", () => {
+  const { urgent, others } = runSheddingLoad();
+  assert.ok(urgent >= 4 * others, `${urgent} and ${others}`);
+});
+
+/** Counts second attempts from three seconds after the sheds began. */
+function runSheddingLoad(): { urgent: number; others: number } {
+  let now = 0;
+  const budgets = createBudgets(createClock(() => now));
+  const exchange = new UsageExchange(budgets);
+  const random = createSeededRandom(1);
+  const taken = { urgent: 0, others: 0 };
+  for (; now < 12_000; now += STEP_MS) {
+    if (now % REPORT_MS === 0) exchange.sendReports();
+    const budget = budgets[Math.floor(random() * VMS)];
+    const isUrgent = random() < 0.5;
+    const scope = isUrgent ? SCOPE : LESS_URGENT;
+    budget?.recordRequest(scope);
+    const isShed = now >= 3_000;
+    if (!isShed || !budget?.take(scope) || now < 6_000) continue;
+    if (isUrgent) taken.urgent += 1;
+    else taken.others += 1;
+  }
+  return taken;
+}
+
 test("a VM that hears nobody spends its own part alone", () => {
   let now = 0;
-  const budget = new FleetRetryBudget({
-    clock: {
-      now: () => now,
-      wallNow: () => now,
-      startTimer: () => () => {},
-      sleep: () => Promise.resolve(),
-    },
-    countVms: () => VMS,
-    ratio: RATIO,
-    slack: SLACK,
-    windowMs: WINDOW_MS,
-  });
+  const [budget] = createBudgets(createClock(() => now));
   now = 5_000;
   let taken = 0;
   for (let index = 0; index < 40; index += 1) {
-    budget.recordRequest(SCOPE);
-    if (budget.take(SCOPE)) taken += 1;
+    budget?.recordRequest(SCOPE);
+    if (budget?.take(SCOPE)) taken += 1;
   }
   assert.ok(taken >= 6 && taken <= RATIO * 40 + SLACK / VMS, `${taken}`);
 });
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -10,6 +10,7 @@
 import type { Logger } from "../logging/mod.ts";
 import { Counter } from "../metrics/mod.ts";
 import type { Random } from "../random/mod.ts";
+import { FailureStake } from "../selection/mod.ts";
 import { AnswerBodyKind } from "./answer_body.ts";
 import { AttemptRunner, isFinal, isRepeatable } from "./attempt_runner.ts";
 import type {
@@ -143,7 +144,7 @@
     };
     this.#parts.retryBudget.recordRequest(getScope(plan));
     const candidates = this.#parts.selection
-      .selectServers(plan.service, plan.route.idempotency);
+      .selectServers(plan.service, this.#getStake(job));
     for (const server of candidates) {
       if (!this.#admitAttempt(job, progress)) break;
       const result = await this.#runHedged(job, progress, server, candidates);
@@ -223,6 +224,18 @@
     };
   }
 
+  /** Gets what is lost when the first attempt fails. */
+  #getStake(job: Job): FailureStake {
+    const { plan } = job;
+    const attempts = plan.route.attempts ?? ATTEMPTS_PER_REQUEST;
+    if (attempts < 2 || !isRepeatable(job, OutcomeKind.MayHaveRun)) {
+      return FailureStake.Request;
+    }
+    return this.#parts.retryBudget.isAmple(getScope(plan))
+      ? FailureStake.Attempt
+      : FailureStake.ScarceAttempt;
+  }
+
   /** Gets when a second server is asked too; undefined for never. */
   #getHedgeDelayMs(job: Job): number | undefined {
     const { plan } = job;
@@ -340,7 +353,11 @@
 }
 
 function getScope(plan: RequestPlan): RetryScope {
-  return { service: plan.service, team: plan.team?.id ?? "" };
+  return {
+    service: plan.service,
+    team: plan.team?.id ?? "",
+    priority: plan.priority,
+  };
 }
 
 /** Refuses by the newest failure, but says `not run` only if none may have run. */
--- a/src/services/forwarding/retry_budget.ts
+++ b/src/services/forwarding/retry_budget.ts
@@ -6,6 +6,8 @@
   readonly service: ServiceId;
   /** Empty for callers without a team. */
   readonly team: TeamId;
+  /** Rank of the request, 0 the highest. */
+  readonly priority: number;
 }
 
 /** Decides on second attempts, retries and hedges alike. */
@@ -14,6 +16,8 @@
   recordRequest(scope: RetryScope): void;
   /** Records that a request was answered. */
   recordAnswer(scope: RetryScope): void;
+  /** Whether so many second attempts are left that tests may cost some. */
+  isAmple(scope: RetryScope): boolean;
   /** Takes one second attempt; false when the budget has none left. */
   take(scope: RetryScope): boolean;
 }
@@ -42,6 +46,7 @@
         tokens.set(name, Math.min(options.burst, earned));
       }
     },
+    isAmple: () => true,
     take: (scope) => {
       const names = listNames(scope);
       if (names.some((name) => getTokens(name) < 1)) return false;
--- a/src/services/selection/mod.ts
+++ b/src/services/selection/mod.ts
@@ -1,5 +1,4 @@
 /** Selection service: which backend server gets the next attempt. */
-import { Idempotency } from "../../model/mod.ts";
 import type { Server, ServerId, ServiceId } from "../../model/mod.ts";
 import type { Clock } from "../clock/mod.ts";
 import type { Configuration } from "../configuration/mod.ts";
@@ -23,13 +22,13 @@
  * latency that is usual for its service.
  */
 
-/** The failure of a request that can be sent again costs some of its time. */
-const REPEATABLE_FAILURE_RATIO = 2;
 /**
- * Another request is lost whole, by the odds of a fault: at even odds that costs
- * as much as an answer that comes too late to be of use.
+ * A failure that can't be made good loses the request. Costs go by the odds of a
+ * fault: at even odds, as much as an answer that comes too late to be of use.
  */
 const LOST_FAILURE_RATIO = 4;
+/** One that can be made good costs time and one of few second attempts. */
+const REPEATABLE_FAILURE_RATIO = 1.5;
 /** Bytes between failure domains are paid, and answers come later. */
 const FAR_RATIO = 0.25;
 /** A server that has just started works at about half of its speed. */
@@ -71,6 +70,16 @@
   readonly isShed: boolean;
 }
 
+/** What is lost when a server fails an attempt. */
+export enum FailureStake {
+  /** One attempt of several; it may test a server that is suspected. */
+  Attempt = "attempt",
+  /** One attempt while the fleet has few second attempts left. */
+  ScarceAttempt = "scarce_attempt",
+  /** The request. */
+  Request = "request",
+}
+
 /** A server and what speaks against it, as an expected wait. */
 interface Candidate {
   readonly server: Server;
@@ -96,15 +105,21 @@
    *
    * No server comes twice. Of servers drawn at random, the one with the
    * shortest expected wait goes first. A server on trial comes before the
-   * others, but only for requests that may be sent again.
+   * others, but only for requests that may be sent again. After a failure the
+   * surest servers are preferred, since few attempts are left.
    */
   *selectServers(
     service: ServiceId,
-    idempotency: Idempotency,
+    stake: FailureStake,
   ): Generator<Server, void, undefined> {
     const tried = new Set<ServerId>();
+    const first = this.#pickFirst(service, stake);
+    if (first === undefined) return;
+    tried.add(first.id);
+    yield first;
     while (true) {
-      const server = this.#pickNext(service, idempotency, tried);
+      const admitted = this.#listAdmitted(service, tried);
+      const server = this.#pickOne(admitted, FailureStake.Request);
       if (server === undefined) return;
       tried.add(server.id);
       yield server;
@@ -148,16 +163,16 @@
     }));
   }
 
-  #pickNext(
-    service: ServiceId,
-    idempotency: Idempotency,
-    tried: ReadonlySet<ServerId>,
-  ): Server | undefined {
-    if (idempotency === Idempotency.Idempotent && tried.size === 0) {
-      const onTrial = this.#findTrial(service) ?? this.#findSuspect(service);
-      if (onTrial !== undefined) return onTrial;
+  #pickFirst(service: ServiceId, stake: FailureStake): Server | undefined {
+    const admitted = this.#listAdmitted(service, new Set());
+    switch (stake) {
+      case FailureStake.Request:
+      case FailureStake.ScarceAttempt:
+        return this.#pickOne(admitted, stake);
+      case FailureStake.Attempt:
+        return this.#findTrial(service) ?? this.#findSuspect(service) ??
+          this.#pickOne(admitted, stake);
     }
-    return this.#pickOne(this.#listAdmitted(service, tried), idempotency);
   }
 
   #findTrial(service: ServiceId): Server | undefined {
@@ -211,11 +226,11 @@
    */
   #pickOne(
     servers: readonly Server[],
-    idempotency: Idempotency,
+    stake: FailureStake,
   ): Server | undefined {
     const candidates = servers.map((server): Candidate => ({
       server,
-      penalty: this.#getPenalty(server, idempotency),
+      penalty: this.#getPenalty(server, stake),
     }));
     const least = Math.min(...candidates.map(({ penalty }) => penalty));
     const best: Candidate[] = [];
@@ -241,13 +256,14 @@
   }
 
   /** Gets what speaks against a server besides its load. */
-  #getPenalty(server: Server, idempotency: Idempotency): number {
+  #getPenalty(server: Server, stake: FailureStake): number {
     const { detector, failureDomain, clock } = this.#parts;
     const coldUntil = (server.listedAt ?? -Infinity) + (server.coldMs ?? 0);
     const far = server.failureDomain === failureDomain ? 0 : FAR_RATIO;
     const cold = clock.now() < coldUntil ? COLD_RATIO : 0;
     const chance = detector.getFaultChance(server);
-    return computeFailureRatio(idempotency, chance) + far + cold;
+    const odds = chance / (1 - chance);
+    return odds * getFailureRatio(stake) + far + cold;
   }
 
   #pickRandom<T>(items: readonly T[]): T | undefined {
@@ -283,15 +299,13 @@
   }
 }
 
-/** Computes what the chance of a fault costs, in multiples of a latency. */
-function computeFailureRatio(
-  idempotency: Idempotency,
-  chance: number,
-): number {
-  switch (idempotency) {
-    case Idempotency.Idempotent:
-      return REPEATABLE_FAILURE_RATIO * chance;
-    case Idempotency.NonIdempotent:
-      return LOST_FAILURE_RATIO * chance / (1 - chance);
+/** Gets what even odds of a fault cost, in multiples of a latency. */
+function getFailureRatio(stake: FailureStake): number {
+  switch (stake) {
+    case FailureStake.Attempt:
+      return REPEATABLE_FAILURE_RATIO;
+    case FailureStake.ScarceAttempt:
+    case FailureStake.Request:
+      return LOST_FAILURE_RATIO;
   }
 }
--- a/src/services/selection/selection_test.ts
+++ b/src/services/selection/selection_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { VirtualClock, VirtualTime } from "../../../standins/virtual_clock.ts";
-import { Idempotency, ServerPhase } from "../../model/mod.ts";
+import { ServerPhase } from "../../model/mod.ts";
 import type { Server } from "../../model/mod.ts";
 import { Configuration } from "../configuration/mod.ts";
 import { ServerStanding } from "../detector/mod.ts";
@@ -10,7 +10,7 @@
 import { createSeededRandom } from "../random/mod.ts";
 import type { Random } from "../random/mod.ts";
 import type { LoadByServer } from "./load_exchange.ts";
-import { Selection } from "./mod.ts";
+import { FailureStake, Selection } from "./mod.ts";
 
 const VMS = 12;
 const SERVERS = 9;
@@ -129,7 +129,7 @@
   const send = async (selection: Selection): Promise<void> => {
     const server = given.isRandom
       ? pickRandom()
-      : selection.selectServers(SERVICE, Idempotency.NonIdempotent)
+      : selection.selectServers(SERVICE, FailureStake.Request)
         .next().value as Server;
     selection.recordStart(server.id);
     const startedAt = time.now;
--- a/tests/gray_test.ts
+++ b/tests/gray_test.ts
@@ -18,6 +18,7 @@
   Attempt,
   UpstreamAnswer,
 } from "../src/services/forwarding/upstream.ts";
+import { FailureStake } from "../src/services/selection/mod.ts";
 import { listBasicChanges } from "./harness.ts";
 import { VirtualFleet } from "./virtual_fleet.ts";
 
@@ -137,7 +138,7 @@
   for (const vm of fleet.names) {
     const selection = fleet.find(vm, ServiceName.Selection);
     const picked = [
-      ...selection.selectServers("rota", Idempotency.Idempotent),
+      ...selection.selectServers("rota", FailureStake.Attempt),
     ].map(({ id }) => id);
     assert.equal(picked.includes("rota-3"), false, vm);
     assert.equal(picked.length, SERVERS - 1);
@@ -160,7 +161,7 @@
     assert.equal(configuration.counts[VerdictKind.Conflict], 0);
     const selection = fleet.find(vm, ServiceName.Selection);
     const picked = [
-      ...selection.selectServers("rota", Idempotency.Idempotent),
+      ...selection.selectServers("rota", FailureStake.Attempt),
     ].map(({ id }) => id);
     assert.equal(picked.includes("rota-2"), false, vm);
   }
