Count announced VMs while a VM has just started

Until each was linked to its hub it counted one VM, itself, and kept to the whole rate alone.

Change: for three seconds after its start a VM counts all that have announced themselves. The test fails without it at the first look.

--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -193,7 +193,7 @@
       const fleet = find(ServiceName.Fleet);
       const quota = new Quota({
         clock: find(ServiceName.Clock),
-        countVms: () => fleet.listVms().length,
+        countVms: () => fleet.countVms(),
       });
       fleet.setUsageSource(UsageKind.Team, quota);
       return quota;
@@ -217,7 +217,7 @@
       const fleet = find(ServiceName.Fleet);
       const budget = new FleetRetryBudget({
         clock: find(ServiceName.Clock),
-        countVms: () => fleet.listVms().length,
+        countVms: () => fleet.countVms(),
         ratio: settings.retryRatio,
         slack: settings.retrySlack,
         windowMs: settings.retryWindowMs,
--- a/src/services/detector/avoid_test.ts
+++ b/src/services/detector/avoid_test.ts
@@ -36,6 +36,7 @@
     exchange: {
       vm: "vm-1",
       listVms: () => ["vm-2"],
+      countVms: () => 2,
       sendToAll: () => void (sent += 1),
       setHandler: (handler) => {
         handle = handler;
--- a/src/services/detector/evidence_exchange.ts
+++ b/src/services/detector/evidence_exchange.ts
@@ -16,6 +16,8 @@
   readonly vm: VmName;
   /** Lists the other VMs that can be reached. */
   listVms(): readonly VmName[];
+  /** Counts the VMs, this one included. */
+  countVms(): number;
   /** Sends evidence to all of them. */
   sendToAll(servers: readonly ServerEvidence[]): void;
   /** Sets who takes the evidence of other VMs. */
@@ -27,6 +29,7 @@
   return {
     vm: membership.self.vm,
     listVms: () => membership.listReached().map((peer) => peer.vm),
+    countVms: () => membership.listReached().length + 1,
     sendToAll: (servers) => {
       for (const peer of membership.listReached()) {
         membership.send(peer, { kind: PeerMessageKind.Evidence, servers });
--- a/src/services/detector/mod.ts
+++ b/src/services/detector/mod.ts
@@ -233,7 +233,7 @@
 
   /** Gets this VM's time between two requests that test suspects. */
   getTestIntervalMs(): number {
-    return TEST_INTERVAL_MS * this.#countVms();
+    return TEST_INTERVAL_MS * this.#parts.exchange.countVms();
   }
 
   /** Time in milliseconds since a server was admitted again. */
@@ -394,10 +394,6 @@
     });
   }
 
-  #countVms(): number {
-    return this.#parts.exchange.listVms().length + 1;
-  }
-
   #addSeen(server: Server, origin: EvidenceOrigin, seen: Seen): void {
     const now = this.#parts.clock.now();
     const watch = this.#getWatch(server.id);
@@ -470,8 +466,9 @@
       score,
       trialAt: now + delayMs,
       trialsLeft: TRIALS_NEEDED,
-      trialIntervalMs: TRIAL_INTERVAL_MS * this.#countVms(),
-      triedAt: now - random() * TRIAL_INTERVAL_MS * this.#countVms(),
+      trialIntervalMs: TRIAL_INTERVAL_MS * this.#parts.exchange.countVms(),
+      triedAt: now -
+        random() * TRIAL_INTERVAL_MS * this.#parts.exchange.countVms(),
     }, this.#getView(server.service));
     if (!isEjected) return;
     watch.failures.removeAll();
--- a/src/services/fleet/evidence.ts
+++ b/src/services/fleet/evidence.ts
@@ -10,6 +10,7 @@
     listVms: () =>
       fleet.listVms().map((vm) => vm.name)
         .filter((name) => name !== fleet.self.name),
+    countVms: () => fleet.countVms(),
     sendToAll: (servers) =>
       fleet.sendToAll({
         kind: FleetMessageKind.Evidence,
--- a/src/services/fleet/exchange.ts
+++ b/src/services/fleet/exchange.ts
@@ -88,6 +88,7 @@
   /** All live VMs as the hub tells them; used by followers. */
   #toldVms: readonly LiveVm[] = [];
   #vmsVersion = 0;
+  #liveCount = 1;
   #vmsText = "";
   #getPhase: () => VmPhase = () => VmPhase.Starting;
   readonly #usage = new Map<UsageKind, UsageSource>();
@@ -131,6 +132,11 @@
     return [own, ...known.filter((vm) => vm.name !== own.name)];
   }
 
+  /** Number of VMs that lived at the last beat, this one included. */
+  get liveCount(): number {
+    return this.#liveCount;
+  }
+
   /** Takes note of this VM's own counts and of who lives, before a beat. */
   recordOwn(): void {
     const { self } = this.#parts;
@@ -279,7 +285,9 @@
   }
 
   #updateVmsVersion(): void {
-    const text = JSON.stringify(this.listVms());
+    const vms = this.listVms();
+    this.#liveCount = vms.length;
+    const text = JSON.stringify(vms);
     if (text === this.#vmsText) return;
     this.#vmsText = text;
     this.#vmsVersion += 1;
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -61,6 +61,8 @@
 const HUB_SILENCE_LIMIT_MS = 900;
 /** Time between two looks for a hub that ranks before this VM. */
 const HUB_CHECK_MS = 2_000;
+/** Time after its start in which a VM hears of all others by way of the hubs. */
+const SETTLE_MS = 3_000;
 /** Time between two looks whether the directory was asked. */
 const DIRECTORY_CHECK_MS = 50;
 
@@ -100,11 +102,13 @@
   readonly #directory: DirectoryReader;
   readonly #dialer: Dialer;
   readonly #exchange: Exchange;
+  readonly #startedAt: number;
   #role = FleetRole.Searching;
 
   /** Creates a fleet of this VM alone. */
   constructor(parts: FleetParts) {
     this.#parts = parts;
+    this.#startedAt = parts.clock.now();
     this.#list.add(parts.self);
     const list = this.#list;
     const isHub = (): boolean => isHubRole(this.#role);
@@ -173,6 +177,19 @@
     return this.#exchange.listVms();
   }
 
+  /**
+   * Counts the VMs that live, this one included, for a part of what all share.
+   *
+   * A VM that has just started hears of the others one after the other; until
+   * then all that have announced themselves count, lest each of many that start
+   * together takes itself for the only one.
+   */
+  countVms(): number {
+    const isSettled = this.#parts.clock.now() - this.#startedAt >= SETTLE_MS;
+    const live = this.#exchange.liveCount;
+    return isSettled ? live : Math.max(live, this.#list.size);
+  }
+
   /** Sends to every VM that follows this one. */
   sendToFollowers(message: FleetMessage): void {
     this.#sendTo(LinkKind.Follower, message);
--- a/src/services/fleet/vm_list.ts
+++ b/src/services/fleet/vm_list.ts
@@ -23,6 +23,11 @@
   readonly #entries = new Map<VmName, VmEntry>();
   readonly #unreached = new Map<VmName, Unreached>();
 
+  /** Number of entries, those of dead VMs included. */
+  get size(): number {
+    return this.#entries.size;
+  }
+
   /** Adds an entry; returns whether it was new. */
   add(entry: VmEntry): boolean {
     const known = this.#entries.get(entry.name);
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -317,6 +317,19 @@
   assert.ok(all < 4 * DOMAINS.length, `${all}`);
 });
 
+test("VMs that all start again count each other from the first request on", async () => {
+  const world = await createWorld();
+  const names = world.vms.map((vm) => vm.name);
+  for (const vm of [...world.vms]) world.killVm(vm);
+  for (const name of names) world.startVm(name);
+  for (let ms = 0; ms < SETTLE_MS; ms += 100) {
+    await world.time.advance(100);
+    for (const vm of world.vms) {
+      assert.ok(vm.fleet.countVms() >= names.length, `${vm.name} at ${ms} ms`);
+    }
+  }
+});
+
 test("when a hub dies, its domain stays fresh and finds another", async () => {
   const world = await createWorld();
   const [hub] = world.listHubs();
