--- a/src/ctl/changes.ts
+++ b/src/ctl/changes.ts
@@ -1,6 +1,6 @@
 /** Turns the flags of a command into the change that it asks for. */
 import { createHash, randomBytes } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import {
   Idempotency,
   PresetName,
--- a/src/ctl/in_force.ts
+++ b/src/ctl/in_force.ts
@@ -1,5 +1,5 @@
 /** Waits until an offset is in force on every daemon that is asked. */
-import { z } from "zod";
+import * as z from "zod";
 import type { Offset } from "../model/mod.ts";
 import { OperatorQuery } from "../services/operator_front/mod.ts";
 import type { CommandContext } from "./command.ts";
--- a/src/ctl/main.ts
+++ b/src/ctl/main.ts
@@ -4,7 +4,7 @@
 import yargs from "yargs";
 import type { Argv } from "yargs";
 import { hideBin } from "yargs/helpers";
-import { z } from "zod";
+import * as z from "zod";
 import { ENVIRONMENT_PREFIX } from "../constants.ts";
 import { createHttpLogClient } from "../protocols/log/http_log_client.ts";
 import { createSystemClock } from "../services/clock/mod.ts";
--- a/src/protocols/fleet/message_codec.ts
+++ b/src/protocols/fleet/message_codec.ts
@@ -1,6 +1,6 @@
 /** MessagePack form of messages between VMs of the fleet. */
 import { Packr } from "msgpackr";
-import { z } from "zod";
+import * as z from "zod";
 import { VmPhase } from "../../model/mod.ts";
 import type { ConfigurationDocument, ServerPhase } from "../../model/mod.ts";
 import type { ServerEntry } from "../../services/feed/source.ts";
--- a/src/protocols/http/vm_list_client.ts
+++ b/src/protocols/http/vm_list_client.ts
@@ -1,5 +1,5 @@
 /** The platform's VM list over HTTP and JSON. */
-import { z } from "zod";
+import * as z from "zod";
 import { VM_LIST_TIMEOUT_MS } from "../../constants.ts";
 import { EXPIRED, runWithin } from "../../services/clock/mod.ts";
 import type { Clock } from "../../services/clock/mod.ts";
--- a/src/protocols/log/http_log_client.ts
+++ b/src/protocols/log/http_log_client.ts
@@ -1,6 +1,6 @@
 /** The platform's log over HTTP and JSON. */
 import http from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 import { LOG_TIMEOUT_MS } from "../../constants.ts";
 import type { ConfigurationRecord } from "../../model/mod.ts";
 import { EXPIRED, runWithin } from "../../services/clock/mod.ts";
--- a/src/protocols/log/record_codec.ts
+++ b/src/protocols/log/record_codec.ts
@@ -1,5 +1,5 @@
 /** JSON form of the log's records, checked on the way in. */
-import { z } from "zod";
+import * as z from "zod";
 import { SEATS_PER_CELL } from "../../constants.ts";
 import {
   EntryKind,
--- a/src/protocols/peer/message_codec.ts
+++ b/src/protocols/peer/message_codec.ts
@@ -1,6 +1,6 @@
 /** MessagePack form of messages between daemons. */
 import { Packr } from "msgpackr";
-import { z } from "zod";
+import * as z from "zod";
 import { EntryKind, VmPhase } from "../../model/mod.ts";
 import type { LogEntry } from "../../model/mod.ts";
 import { PeerMessageKind } from "../../services/membership/peer_message.ts";
--- a/src/settings/ctl_settings.ts
+++ b/src/settings/ctl_settings.ts
@@ -1,5 +1,5 @@
 /** Settings of the operators' tool, resolved once into a frozen object. */
-import { z } from "zod";
+import * as z from "zod";
 import { ResolutionKind, resolveFlags, urlSchema } from "./flags.ts";
 import type { Flag, Resolution } from "./flags.ts";
 
--- a/src/settings/daemon_settings.ts
+++ b/src/settings/daemon_settings.ts
@@ -1,5 +1,5 @@
 /** Settings of the daemon, resolved once into a frozen object. */
-import { z } from "zod";
+import * as z from "zod";
 import { ADDRESS_TTL_MS, LOG_RETENTION_MS } from "../constants.ts";
 import { Backing, LogFormat, LogLevel } from "../model/mod.ts";
 import type { CellId, Incarnation, VmName } from "../model/mod.ts";
--- a/src/settings/flags.ts
+++ b/src/settings/flags.ts
@@ -1,5 +1,5 @@
 /** Declares settings once, for flags, environment variables and checks. */
-import { z } from "zod";
+import * as z from "zod";
 import { ENVIRONMENT_PREFIX } from "../constants.ts";
 
 /** A setting as the command line and the environment name it. */
