Count a team's rate and burst in the users' window

A single bucket of rate and burst gives the burst once and then the rate alone. Ruled out: a sliding count of the window itself. After a restart of all VMs it would admit a whole window's worth again; buckets that begin empty can't.

Change: two buckets with the same sum for a window, drawn from together.

--- a/src/services/quota/team_bucket.ts
+++ b/src/services/quota/team_bucket.ts
@@ -6,14 +6,11 @@
  * no more than its part of what was left, in proportion to what its callers ask
  * for, so that all VMs together do not spend the same tokens twice.
  */
+import { Allowance } from "./allowance.ts";
+import { getSustainedRate } from "./allowance.ts";
+import type { BucketLimits } from "./allowance.ts";
 import { RateMeter } from "./rate_meter.ts";
 
-/** Limits of a team. */
-export interface BucketLimits {
-  readonly ratePerSecond: number;
-  readonly burst: number;
-}
-
 /** What a VM knows of the rest of the fleet. */
 export interface FleetView {
   /** VMs that live, this one included. */
@@ -61,7 +58,7 @@
   readonly #ownAsked = new RateMeter(ASKED_FADE_MS);
   readonly #othersAsked = new RateMeter(ASKED_FADE_MS);
   readonly #othersAdmitted = new RateMeter(ADMITTED_FADE_MS);
-  #level: number;
+  readonly #allowance: Allowance;
   /** Tokens that were left when the others were heard last. */
   #heardLevel: number;
   /** Rate of requests here at that time. */
@@ -79,21 +76,20 @@
    * all of it when every VM was restarted.
    */
   constructor(limits: BucketLimits, filledMs: number, now: number) {
-    const filled = limits.ratePerSecond * filledMs / MS_PER_SECOND;
-    this.#level = Math.min(limits.burst, filled);
-    this.#heardLevel = this.#level;
+    this.#allowance = new Allowance(limits, filledMs);
+    this.#heardLevel = this.#allowance.level;
     this.#updatedAt = now;
   }
 
   /** Tokens that are left, as far as this VM knows; may be negative. */
   get level(): number {
-    return this.#level;
+    return this.#allowance.level;
   }
 
   /** Records what the other VMs admitted, and what was asked of them. */
   recordOthers(admitted: number, asked: number, now: number): void {
-    this.#level -= admitted;
-    this.#heardLevel = this.#level;
+    this.#allowance.take(admitted);
+    this.#heardLevel = this.#allowance.level;
     this.#unheardOwn = 0;
     this.#heardOwnAsked = this.#ownAsked.getPerSecond(now);
     this.#othersAdmitted.add(admitted, now);
@@ -110,7 +106,7 @@
     if (!hasPart && this.#shareTokens < 1) {
       return this.#refuse(limits, share);
     }
-    this.#level -= 1;
+    this.#allowance.take(1);
     this.#unheardOwn += 1;
     if (!hasPart) this.#shareTokens -= 1;
     return { kind: BucketDecisionKind.Admitted };
@@ -125,22 +121,22 @@
   #hasPart(share: number, heardMs: number, now: number): boolean {
     const seconds = (heardMs + REPORT_AGE_MS) / MS_PER_SECOND;
     const unheard = this.#othersAdmitted.getPerSecond(now) * seconds;
-    return this.#level - unheard >= 1 &&
+    return this.#allowance.level - unheard >= 1 &&
       this.#unheardOwn + 1 <= Math.max(1, share * this.#heardLevel);
   }
 
   /** Gives back the token of a request that was not run. */
   giveBack(limits: BucketLimits): void {
-    this.#level = Math.min(limits.burst, this.#level + 1);
+    this.#allowance.giveBack(limits);
     this.#shareTokens = Math.min(SHARE_TOKENS_MAX, this.#shareTokens + 1);
   }
 
   #updateTokens(limits: BucketLimits, share: number, now: number): void {
     const seconds = (now - this.#updatedAt) / MS_PER_SECOND;
     this.#updatedAt = now;
-    const gained = seconds * limits.ratePerSecond;
-    this.#level = Math.min(limits.burst, this.#level + gained);
-    const overdrawn = Math.max(0, -this.#level) / limits.burst;
+    this.#allowance.addTime(limits, seconds);
+    const gained = seconds * getSustainedRate(limits);
+    const overdrawn = Math.max(0, -this.#allowance.level) / limits.burst;
     const ratio = Math.max(OVERDRAWN_RATIO_MIN, 1 - overdrawn);
     this.#shareTokens = Math.min(
       SHARE_TOKENS_MAX,
@@ -164,10 +160,11 @@
 
   #refuse(limits: BucketLimits, share: number): BucketDecision {
     const missing = 1 - this.#shareTokens;
-    const waitMs = MS_PER_SECOND * missing / (limits.ratePerSecond * share);
+    const rate = getSustainedRate(limits);
+    const waitMs = MS_PER_SECOND * missing / (rate * share);
     return {
       kind: BucketDecisionKind.Refused,
-      level: this.#level,
+      level: this.#allowance.level,
       share,
       retryAfterMs: Math.min(
         RETRY_AFTER_MAX_MS,
