--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -188,13 +188,12 @@
 function addLimits(kernel: Kernel<Services>): void {
   kernel.add(createServiceDefinition({
     name: ServiceName.Quota,
-    needs: [ServiceName.Settings, ServiceName.Clock, ServiceName.Fleet],
+    needs: [ServiceName.Clock, ServiceName.Fleet],
     create: (find) => {
       const fleet = find(ServiceName.Fleet);
       const quota = new Quota({
         clock: find(ServiceName.Clock),
         countVms: () => fleet.countVms(),
-        windowMs: find(ServiceName.Settings).quotaWindowMs,
       });
       fleet.setUsageSource(UsageKind.Team, quota);
       return quota;
--- a/src/services/quota/mod.ts
+++ b/src/services/quota/mod.ts
@@ -3,7 +3,7 @@
 import type { Clock } from "../clock/mod.ts";
 import type { Usage, UsageSource } from "../fleet/mod.ts";
 import { BucketDecisionKind, TeamBucket } from "./team_bucket.ts";
-import type { BucketLimits } from "./allowance.ts";
+import type { BucketLimits } from "./team_bucket.ts";
 import { LimitKind } from "./team_limiter.ts";
 import type { LimitDecision, TeamLimiter } from "./team_limiter.ts";
 
@@ -15,8 +15,6 @@
   readonly clock: Clock;
   /** Counts the VMs that live, this one included. */
   readonly countVms: () => number;
-  /** Window in which rate and burst are counted, in milliseconds. */
-  readonly windowMs: number;
 }
 
 /** What is known of one team. */
@@ -70,7 +68,7 @@
   }
 
   #takeOne(team: Team, preset: Preset): LimitDecision {
-    const limits = resolveLimits(team, preset, this.#parts.windowMs);
+    const limits = resolveLimits(team, preset);
     if (limits.ratePerSecond === Infinity) {
       return { kind: LimitKind.Within, giveBack: () => {} };
     }
@@ -125,14 +123,9 @@
   }
 }
 
-function resolveLimits(
-  team: Team,
-  preset: Preset,
-  windowMs: number,
-): BucketLimits {
+function resolveLimits(team: Team, preset: Preset): BucketLimits {
   return {
     ratePerSecond: team.ratePerSecond * preset.rateFactor,
     burst: Math.max(1, team.burst * preset.rateFactor),
-    windowMs,
   };
 }
--- a/src/services/quota/quota_test.ts
+++ b/src/services/quota/quota_test.ts
@@ -61,7 +61,7 @@
   };
   const quotas = Array.from(
     { length: load.vms },
-    () => new Quota({ clock, countVms: () => load.vms, windowMs: WINDOW_MS }),
+    () => new Quota({ clock, countVms: () => load.vms }),
   );
   let exchange = new UsageExchange(quotas);
   const admittedAt: number[] = [];
@@ -70,11 +70,7 @@
   for (; now < load.seconds * 1_000; now += STEP_MS) {
     if (now === load.restartAt) {
       quotas.forEach((_quota, vm) => {
-        quotas[vm] = new Quota({
-          clock,
-          countVms: () => load.vms,
-          windowMs: WINDOW_MS,
-        });
+        quotas[vm] = new Quota({ clock, countVms: () => load.vms });
       });
       exchange = new UsageExchange(quotas);
     }
@@ -190,7 +186,7 @@
   });
 }
 
-test("a VM that hears nobody keeps to its part of a window", async () => {
+test("a VM that hears nobody keeps to its part of the rate", async () => {
   let now = 10_000;
   const clock = {
     now: () => now,
@@ -198,15 +194,13 @@
     startTimer: () => () => {},
     sleep: () => Promise.resolve(),
   };
-  const quota = new Quota({ clock, countVms: () => 10, windowMs: WINDOW_MS });
+  const quota = new Quota({ clock, countVms: () => 10 });
   const team = createTeam(100, 100);
-  const admittedAt: number[] = [];
-  for (; now < 30_000; now += STEP_MS) {
+  let admitted = 0;
+  for (; now < 20_000; now += STEP_MS) {
     const decision = await quota.take(team, preset);
-    if (decision.kind === LimitKind.Within) admittedAt.push(now);
+    if (decision.kind === LimitKind.Within) admitted += 1;
   }
-  // A tenth of rate and burst, and what it may save up.
-  const limit = (100 * WINDOW_MS / 1_000 + 100) / 10 + 3;
-  const worst = countWorstWindow(admittedAt);
-  assert.ok(worst <= limit, `${worst} of ${limit}`);
+  // A tenth of the rate for ten seconds, and what it had saved up.
+  assert.ok(admitted <= 103, `${admitted}`);
 });
--- a/src/services/quota/team_bucket.ts
+++ b/src/services/quota/team_bucket.ts
@@ -6,11 +6,14 @@
  * no more than its part of what was left, in proportion to what its callers ask
  * for, so that all VMs together do not spend the same tokens twice.
  */
-import { Allowance } from "./allowance.ts";
-import { getSustainedRate } from "./allowance.ts";
-import type { BucketLimits } from "./allowance.ts";
 import { RateMeter } from "./rate_meter.ts";
 
+/** Limits of a team. */
+export interface BucketLimits {
+  readonly ratePerSecond: number;
+  readonly burst: number;
+}
+
 /** What a VM knows of the rest of the fleet. */
 export interface FleetView {
   /** VMs that live, this one included. */
@@ -58,7 +61,7 @@
   readonly #ownAsked = new RateMeter(ASKED_FADE_MS);
   readonly #othersAsked = new RateMeter(ASKED_FADE_MS);
   readonly #othersAdmitted = new RateMeter(ADMITTED_FADE_MS);
-  readonly #allowance: Allowance;
+  #level: number;
   /** Tokens that were left when the others were heard last. */
   #heardLevel: number;
   /** Rate of requests here at that time. */
@@ -76,20 +79,21 @@
    * all of it when every VM was restarted.
    */
   constructor(limits: BucketLimits, filledMs: number, now: number) {
-    this.#allowance = new Allowance(limits, filledMs);
-    this.#heardLevel = this.#allowance.level;
+    const filled = limits.ratePerSecond * filledMs / MS_PER_SECOND;
+    this.#level = Math.min(limits.burst, filled);
+    this.#heardLevel = this.#level;
     this.#updatedAt = now;
   }
 
   /** Tokens that are left, as far as this VM knows; may be negative. */
   get level(): number {
-    return this.#allowance.level;
+    return this.#level;
   }
 
   /** Records what the other VMs admitted, and what was asked of them. */
   recordOthers(admitted: number, asked: number, now: number): void {
-    this.#allowance.take(admitted);
-    this.#heardLevel = this.#allowance.level;
+    this.#level -= admitted;
+    this.#heardLevel = this.#level;
     this.#unheardOwn = 0;
     this.#heardOwnAsked = this.#ownAsked.getPerSecond(now);
     this.#othersAdmitted.add(admitted, now);
@@ -106,7 +110,7 @@
     if (!hasPart && this.#shareTokens < 1) {
       return this.#refuse(limits, share);
     }
-    this.#allowance.take(1);
+    this.#level -= 1;
     this.#unheardOwn += 1;
     if (!hasPart) this.#shareTokens -= 1;
     return { kind: BucketDecisionKind.Admitted };
@@ -121,22 +125,22 @@
   #hasPart(share: number, heardMs: number, now: number): boolean {
     const seconds = (heardMs + REPORT_AGE_MS) / MS_PER_SECOND;
     const unheard = this.#othersAdmitted.getPerSecond(now) * seconds;
-    return this.#allowance.level - unheard >= 1 &&
+    return this.#level - unheard >= 1 &&
       this.#unheardOwn + 1 <= Math.max(1, share * this.#heardLevel);
   }
 
   /** Gives back the token of a request that was not run. */
   giveBack(limits: BucketLimits): void {
-    this.#allowance.giveBack(limits);
+    this.#level = Math.min(limits.burst, this.#level + 1);
     this.#shareTokens = Math.min(SHARE_TOKENS_MAX, this.#shareTokens + 1);
   }
 
   #updateTokens(limits: BucketLimits, share: number, now: number): void {
     const seconds = (now - this.#updatedAt) / MS_PER_SECOND;
     this.#updatedAt = now;
-    this.#allowance.addTime(limits, seconds);
-    const gained = seconds * getSustainedRate(limits);
-    const overdrawn = Math.max(0, -this.#allowance.level) / limits.burst;
+    const gained = seconds * limits.ratePerSecond;
+    this.#level = Math.min(limits.burst, this.#level + gained);
+    const overdrawn = Math.max(0, -this.#level) / limits.burst;
     const ratio = Math.max(OVERDRAWN_RATIO_MIN, 1 - overdrawn);
     this.#shareTokens = Math.min(
       SHARE_TOKENS_MAX,
@@ -160,11 +164,10 @@
 
   #refuse(limits: BucketLimits, share: number): BucketDecision {
     const missing = 1 - this.#shareTokens;
-    const rate = getSustainedRate(limits);
-    const waitMs = MS_PER_SECOND * missing / (rate * share);
+    const waitMs = MS_PER_SECOND * missing / (limits.ratePerSecond * share);
     return {
       kind: BucketDecisionKind.Refused,
-      level: this.#allowance.level,
+      level: this.#level,
       share,
       retryAfterMs: Math.min(
         RETRY_AFTER_MAX_MS,
--- a/src/settings/daemon_settings.ts
+++ b/src/settings/daemon_settings.ts
@@ -70,8 +70,6 @@
   readonly retrySlack: number;
   /** Window in which retries are counted, in milliseconds. */
   readonly retryWindowMs: number;
-  /** Window in which a team's rate and burst are counted, in milliseconds. */
-  readonly quotaWindowMs: number;
   /** Least severe level that is logged. */
   readonly logLevel: LogLevel;
   /** Form of log lines. */
@@ -198,11 +196,6 @@
     schema: durationSchema,
     fallback: "10000",
   },
-  "quota-window-ms": {
-    description: "window of a team's rate and burst, like 5000 or 5s",
-    schema: durationSchema,
-    fallback: "5000",
-  },
   "settings": {
     description: "path of the platform's settings file; it is not read",
     schema: z.string(),
@@ -266,7 +259,6 @@
       retryRatio: values["retry-ratio"],
       retrySlack: values["retry-slack"],
       retryWindowMs: values["retry-window-ms"],
-      quotaWindowMs: values["quota-window-ms"],
       logLevel: values["log-level"],
       logFormat: values["log-format"],
     }),
