Keep reported loads by link, not by VM

Changes of load count from what was sent on the same link, but were kept under the VM's name: when a cut link ended after its successor stood, it took the successor's reports away for good.

Change: reports are kept by link. The new test fails without it.

--- a/src/services/fleet/exchange.ts
+++ b/src/services/fleet/exchange.ts
@@ -19,6 +19,8 @@
 } from "./message.ts";
 import { UsageLedger } from "./usage_ledger.ts";
 
+/** Stands for this VM among the links that report loads. */
+const OWN = "own";
 /** Time for which another domain's word on its VMs counts. */
 const DOMAIN_TIMEOUT_MS = 3_000;
 
@@ -76,11 +78,11 @@
   /** Counts of the other domains. */
   readonly #foreignUsage = new UsageLedger();
   /** What the VMs of this domain have in flight. */
-  readonly #domainLoad = new LoadTable();
+  readonly #domainLoad = new LoadTable<Link | typeof OWN>();
   /** What the other domains have in flight. */
-  readonly #foreignLoad = new LoadTable();
+  readonly #foreignLoad = new LoadTable<Link>();
   /** What the hub says that all other VMs have in flight. */
-  readonly #hubLoad = new LoadTable();
+  readonly #hubLoad = new LoadTable<Link>();
   readonly #domains = new Map<string, DomainView>();
   readonly #reportedLinks = new WeakSet<Link>();
   #serversDigest = 0;
@@ -200,41 +202,41 @@
       case LinkKind.Uplink:
         return this.#load?.countInFlight() ?? new Map();
       case LinkKind.Follower:
-        return this.#sumOthersLoad(link.vm.name);
+        return this.#sumOthersLoad(link);
       case LinkKind.ToHub:
-        return this.#domainLoad.sumOthers("");
+        return this.#domainLoad.sumOthers();
       case LinkKind.FromHub:
       case LinkKind.Visitor:
         return new Map();
     }
   }
 
-  /** Sums what all VMs but one have in flight. */
-  #sumOthersLoad(vm: VmName): LoadByServer {
-    const sums = this.#domainLoad.sumOthers(vm);
-    addLoad(sums, this.#foreignLoad.sumOthers(""));
+  /** Sums what all VMs have in flight but this one, or but a follower. */
+  #sumOthersLoad(except: Link | typeof OWN): LoadByServer {
+    const sums = this.#domainLoad.sumOthers(except);
+    addLoad(sums, this.#foreignLoad.sumOthers());
     return sums;
   }
 
   /** Takes note of this VM's own load and tells it that of the others. */
   recordOwnLoad(): void {
     const own = this.#load?.countInFlight() ?? new Map();
-    this.#domainLoad.replace(this.#parts.self.name, own);
+    this.#domainLoad.replace(OWN, own);
     if (!this.#parts.isHub()) return;
-    this.#load?.recordOthers(this.#sumOthersLoad(this.#parts.self.name));
+    this.#load?.recordOthers(this.#sumOthersLoad(OWN));
   }
 
   /** Takes what the other end of a link has in flight. */
   applyLoadChanges({ load }: LoadChanges, link: Link): void {
     switch (link.kind) {
       case LinkKind.Uplink:
-        this.#hubLoad.applyChanges(link.vm.name, load);
-        this.#load?.recordOthers(this.#hubLoad.sumOthers(""));
+        this.#hubLoad.applyChanges(link, load);
+        this.#load?.recordOthers(this.#hubLoad.sumOthers());
         return;
       case LinkKind.Follower:
-        return this.#domainLoad.applyChanges(link.vm.name, load);
+        return this.#domainLoad.applyChanges(link, load);
       case LinkKind.FromHub:
-        return this.#foreignLoad.applyChanges(formatOrigin(link.vm), load);
+        return this.#foreignLoad.applyChanges(link, load);
       case LinkKind.ToHub:
       case LinkKind.Visitor:
         return;
@@ -244,13 +246,13 @@
   #removeLoad(link: Link): void {
     switch (link.kind) {
       case LinkKind.Uplink:
-        this.#hubLoad.remove(link.vm.name);
+        this.#hubLoad.remove(link);
         this.#load?.recordOthers(undefined);
         return;
       case LinkKind.Follower:
-        return this.#domainLoad.remove(link.vm.name);
+        return this.#domainLoad.remove(link);
       case LinkKind.FromHub:
-        return this.#foreignLoad.remove(formatOrigin(link.vm));
+        return this.#foreignLoad.remove(link);
       case LinkKind.ToHub:
       case LinkKind.Visitor:
         return;
--- /dev/null
+++ b/src/services/fleet/exchange_test.ts
@@ -0,0 +1,76 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { PeerConnection } from "../membership/transport.ts";
+import type { LoadByServer } from "../selection/load_exchange.ts";
+import { Exchange } from "./exchange.ts";
+import { Link, LinkKind } from "./link.ts";
+import { FleetMessageKind, FleetRole } from "./message.ts";
+import type { FleetMessage, VmEntry } from "./message.ts";
+
+const clock = {
+  now: () => 0,
+  wallNow: () => 0,
+  startTimer: () => () => {},
+  sleep: () => Promise.resolve(),
+};
+
+function createVm(name: string, failureDomain = "a"): VmEntry {
+  return {
+    name,
+    incarnation: 1,
+    failureDomain,
+    callerAddress: `${name}:80`,
+    peerAddress: name,
+  };
+}
+
+function createLink(kind: LinkKind, vm: VmEntry): Link {
+  const connection: PeerConnection<FleetMessage> = {
+    send: () => {},
+    listMessages: () => {
+      throw new Error("nothing is read");
+    },
+    close: () => {},
+  };
+  const hello = {
+    kind: FleetMessageKind.Hello,
+    vm,
+    role: FleetRole.Follower,
+  } as const;
+  return new Link(kind, hello, connection, 0);
+}
+
+for (const kind of [LinkKind.Follower, LinkKind.FromHub]) {
+  test(`a link that ends after its successor stands takes no load away (${kind})`, () => {
+    const links = new Set<Link>();
+    let others: LoadByServer | undefined;
+    const exchange = new Exchange({
+      clock,
+      self: createVm("hub"),
+      links,
+      isHub: () => true,
+    });
+    exchange.setLoadSource({
+      countInFlight: () => new Map(),
+      recordOthers: (load) => void (others = load),
+    });
+    const vm = createVm("other", kind === LinkKind.Follower ? "a" : "b");
+    const [old, successor] = [createLink(kind, vm), createLink(kind, vm)];
+    const told = {
+      kind: FleetMessageKind.Load,
+      load: [{ server: "s1", inFlight: 2 }],
+    } as const;
+    for (const link of [old, successor]) {
+      links.add(link);
+      exchange.applyLoadChanges(told, link);
+    }
+    links.delete(old);
+    exchange.recordLinkEnd(old);
+    exchange.recordOwnLoad();
+    assert.equal(others?.get("s1"), 2);
+    links.delete(successor);
+    exchange.recordLinkEnd(successor);
+    exchange.recordOwnLoad();
+    assert.equal(others?.get("s1"), undefined);
+  });
+}
--- a/src/services/fleet/load_table.ts
+++ b/src/services/fleet/load_table.ts
@@ -3,12 +3,17 @@
 import type { LoadByServer } from "../selection/load_exchange.ts";
 import type { InFlight } from "./message.ts";
 
-/** Keeps what each sender has in flight. */
-export class LoadTable {
-  readonly #senders = new Map<string, Map<ServerId, number>>();
+/**
+ * Keeps what each sender has in flight.
+ *
+ * A sender is one link, not one VM: changes count from what was sent on the same
+ * link, and the end of an old link must not take away what a new one has told.
+ */
+export class LoadTable<Sender> {
+  readonly #senders = new Map<Sender, Map<ServerId, number>>();
 
   /** Applies the changes that a sender reports. */
-  applyChanges(sender: string, changes: readonly InFlight[]): void {
+  applyChanges(sender: Sender, changes: readonly InFlight[]): void {
     const load = this.#senders.get(sender) ?? new Map<ServerId, number>();
     this.#senders.set(sender, load);
     for (const { server, inFlight } of changes) {
@@ -18,17 +23,17 @@
   }
 
   /** Takes what a sender has in flight. */
-  replace(sender: string, load: LoadByServer): void {
+  replace(sender: Sender, load: LoadByServer): void {
     this.#senders.set(sender, new Map(load));
   }
 
   /** Forgets a sender that can't be heard any more. */
-  remove(sender: string): void {
+  remove(sender: Sender): void {
     this.#senders.delete(sender);
   }
 
-  /** Sums what all senders but one have in flight. */
-  sumOthers(sender: string): Map<ServerId, number> {
+  /** Sums what all senders have in flight, but one if it is given. */
+  sumOthers(sender?: Sender): Map<ServerId, number> {
     const sums = new Map<ServerId, number>();
     for (const [name, load] of this.#senders) {
       if (name !== sender) addLoad(sums, load);
--- a/src/services/selection/selection_test.ts
+++ b/src/services/selection/selection_test.ts
@@ -106,7 +106,7 @@
     [...configuration.state.servers.keys()]
       .map((id) => [id, new SlottedServer(time)]),
   );
-  const table = new LoadTable();
+  const table = new LoadTable<number>();
   const sources: (() => LoadByServer)[] = [];
   const others: LoadByServer[] = [];
   const selections = Array.from({ length: VMS }, (_vm, index) =>
@@ -152,8 +152,8 @@
     time.startTimer(-Math.log(1 - random()) / perMs, sendNext);
   };
   const exchange = (): void => {
-    sources.forEach((countOwn, vm) => table.replace(`${vm}`, countOwn()));
-    sources.forEach((_source, vm) => others[vm] = table.sumOthers(`${vm}`));
+    sources.forEach((countOwn, vm) => table.replace(vm, countOwn()));
+    sources.forEach((_source, vm) => others[vm] = table.sumOthers(vm));
     time.startTimer(given.exchangeMs, exchange);
   };
   sendNext();
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -20,6 +20,7 @@
   ServerEntry,
   ServerUpdate,
 } from "../src/services/feed/source.ts";
+import { createFleetLoads } from "../src/services/fleet/loads.ts";
 import { Fleet, FleetRole, VmUpdateKind } from "../src/services/fleet/mod.ts";
 import type {
   FleetMessage,
@@ -30,6 +31,7 @@
 import type { Logger } from "../src/services/logging/mod.ts";
 import { Metrics } from "../src/services/metrics/mod.ts";
 import { createSeededRandom } from "../src/services/random/mod.ts";
+import type { LoadExchange } from "../src/services/selection/load_exchange.ts";
 
 const DOMAINS = ["a", "b", "c"];
 const VMS_PER_DOMAIN = 5;
@@ -112,6 +114,7 @@
   readonly configuration: Configuration;
   readonly freshness: Confirmations;
   readonly registry: ServerRegistry;
+  readonly loads: LoadExchange;
   readonly stop: AbortController;
 }
 
@@ -157,6 +160,8 @@
     fleet.setPhaseSource(() =>
       freshness.isFresh() ? VmPhase.Serving : VmPhase.Starting
     );
+    const loads = createFleetLoads(fleet);
+    loads.setSource(() => new Map([["s1", 1]]));
     const registry = new ServerRegistry({ configuration, logger });
     const relay = new FeedRelay({
       clock,
@@ -182,6 +187,7 @@
     void fleet.runDirectory(stop.signal);
     void fleet.runUplink(stop.signal);
     void fleet.runBeats(stop.signal);
+    void fleet.runLoads(stop.signal);
     void feed.runDocuments(stop.signal);
     void feed.runServers(stop.signal);
     const vm = {
@@ -192,6 +198,7 @@
       configuration,
       freshness,
       registry,
+      loads,
       stop,
     };
     const index = this.vms.findIndex((known) => known.name === name);
@@ -330,6 +337,27 @@
   }
 });
 
+/** Each VM has one request in flight at the same server. */
+function checkLoads(world: World): void {
+  for (const vm of world.vms) {
+    const others = vm.loads.countOthers("s1");
+    assert.equal(others, world.vms.length - 1, vm.name);
+  }
+}
+
+test("every VM knows what all others have in flight, after restarts too", async () => {
+  const world = await createWorld();
+  checkLoads(world);
+  const [hub] = world.listHubs();
+  if (hub === undefined) throw new Error("there is no hub");
+  world.killVm(hub);
+  await world.time.advance(SETTLE_MS);
+  checkLoads(world);
+  world.startVm(hub.name);
+  await world.time.advance(SETTLE_MS);
+  checkLoads(world);
+});
+
 test("when a hub dies, its domain stays fresh and finds another", async () => {
   const world = await createWorld();
   const [hub] = world.listHubs();
