Serve on a confirmation for 0.8 of the withdrawal's bound

A confirmation is up to 0.5 s old when the store is lost, and as much again by way of the hub. Ruled out: lost links (no VM lost its hub).

Change: 4.0 of 5.0 seconds; a second is left for clocks. The key is checked again before each attempt, so a request on its way adds nothing.

--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -24,9 +24,11 @@
 
 /**
  * Part of the time until a withdrawn key must be refused for which a
- * confirmation counts. The rest is for requests that are on their way.
+ * confirmation counts. The rest is for clocks that drift or step. Callers may
+ * count on service for 0.6 of it after the store is lost, and a confirmation is
+ * up to a read and two reports old by then.
  */
-const FRESHNESS_RATIO = 0.6;
+const FRESHNESS_RATIO = 0.8;
 
 /** Adds the services of the fleet. */
 export function addFleet(kernel: Kernel<Services>): void {
