--- a/scripts/platform_fleet.ts
+++ b/scripts/platform_fleet.ts
@@ -44,6 +44,28 @@
   readonly servers: number;
   /** Work of each request, in milliseconds. */
   readonly workMs?: number;
+  /**
+   * Gives the port by which a port is reached, as by way of a proxy.
+   * @default the port itself
+   */
+  readonly resolvePort?: (hop: Hop, port: number) => Promise<number>;
+}
+
+/** What a connection of a daemon leads to. */
+export enum HopKind {
+  /** From one VM to the store. */
+  Store = "store",
+  /** From other VMs to one VM. */
+  Peer = "peer",
+  /** From all VMs to one backend server. */
+  Server = "server",
+}
+
+/** A connection that a test may put something in between. */
+export interface Hop {
+  readonly kind: HopKind;
+  /** VM or server that it belongs to. */
+  readonly name: string;
 }
 
 /** An answer to a caller. */
@@ -102,12 +124,28 @@
         }),
     ),
   );
-  const registry = createRegistry(store, servers);
+  const resolvePort = options.resolvePort ??
+    ((_hop: Hop, port: number) => Promise.resolve(port));
+  const serverPorts = await Promise.all(
+    servers.map((server, index) =>
+      resolvePort({ kind: HopKind.Server, name: `i-${index}` }, server.port)
+    ),
+  );
+  const registry = createRegistry(store, serverPorts);
   const vms = await createVms(options.vms);
-  const seeds = vms.slice(0, 3).map((vm) => `127.0.0.1:${vm.peerPort}`);
+  const ways = new Map<PlatformVm, Ways>();
+  for (const vm of vms) {
+    const { name } = vm;
+    ways.set(vm, {
+      store: await resolvePort({ kind: HopKind.Store, name }, store.port),
+      peer: await resolvePort({ kind: HopKind.Peer, name }, vm.peerPort),
+    });
+  }
+  const seeds = vms.slice(0, 3)
+    .map((vm) => `127.0.0.1:${ways.get(vm)?.peer}`);
   const startVm = (vm: PlatformVm): void => {
     vm.process = group.start("src/daemon/main.js", [], {
-      ...createEnvironment(vm, store, seeds),
+      ...createEnvironment(vm, ways.get(vm), seeds),
     });
   };
   for (const vm of vms) startVm(vm);
@@ -133,6 +171,12 @@
   };
 }
 
+/** Ports by which a VM reaches the store and is reached by its peers. */
+interface Ways {
+  readonly store: number;
+  readonly peer: number;
+}
+
 interface Registry {
   announce(index: number, state: "ready" | "draining"): void;
   remove(index: number): void;
@@ -141,16 +185,16 @@
 
 function createRegistry(
   store: StoreStandin,
-  servers: readonly ServerStandin[],
+  ports: readonly number[],
 ): Registry {
-  const states = servers.map((): string | undefined => "ready");
+  const states = ports.map((): string | undefined => "ready");
   let sequence = 0;
   const announce = (index: number, state: string): void => {
     states[index] = state;
     sequence += 1;
     store.put("keyed.servers", `i-${index}`, {
       Service: SERVICE,
-      Address: `127.0.0.1:${servers[index]?.port}`,
+      Address: `127.0.0.1:${ports[index]}`,
       Zone: "domain-1",
       Version: "v1",
       Slots: 4,
@@ -204,7 +248,7 @@
 
 function createEnvironment(
   vm: PlatformVm,
-  store: StoreStandin,
+  ways: Ways | undefined,
   seeds: readonly string[],
 ): Record<string, string> {
   const host = "127.0.0.1";
@@ -219,7 +263,8 @@
     RHUBARBWALL_DIRECTORY_LISTEN: `${host}:${vm.directoryPort}`,
     RHUBARBWALL_METRICS_LISTEN: `${host}:${vm.metricsPort}`,
     RHUBARBWALL_SEEDS: seeds.join(),
-    RHUBARBWALL_STORE_ADDRESS: `${host}:${store.port}`,
+    RHUBARBWALL_STORE_ADDRESS: `${host}:${ways?.store}`,
+    RHUBARBWALL_PEER_ADVERTISE: `${host}:${ways?.peer}`,
     RHUBARBWALL_ADDRESS_TTL_MS: "1000",
     RHUBARBWALL_REVOKE_MS: String(REVOKE_MS),
     RHUBARBWALL_GRACE_MS: String(GRACE_MS),
--- /dev/null
+++ b/soak/callers.ts
@@ -0,0 +1,137 @@
+/** Callers that keep addresses and connections, and note what they got. */
+import http from "node:http";
+import { fetchResolved, sendToVm } from "../scripts/platform_fleet.ts";
+import type { PlatformFleet, PlatformVm } from "../scripts/platform_fleet.ts";
+import { PLATFORM_DIALECT } from "../platform/dialect.ts";
+import type { Random } from "../src/services/random/mod.ts";
+
+/** How a request ended, as its caller saw it. */
+export enum EndKind {
+  Answered = "answered",
+  /** No whole answer came. */
+  Broken = "broken",
+}
+
+/** One request of a caller. */
+export interface CallerRecord {
+  readonly id: string;
+  readonly key: string;
+  readonly isUnsafe: boolean;
+  readonly vm: PlatformVm;
+  /** Monotonic times in milliseconds. */
+  readonly sentAt: number;
+  readonly endedAt: number;
+  readonly end:
+    | {
+      readonly kind: EndKind.Answered;
+      readonly status: number;
+      /** Attempt id that the answer bears; undefined on one of the VM's own. */
+      readonly attempt: string | undefined;
+      /** Path that the server says it was asked for. */
+      readonly path: string | undefined;
+    }
+    | { readonly kind: EndKind.Broken; readonly reason: string };
+}
+
+/** Time that callers keep addresses, in milliseconds; as the fleet says. */
+const ADDRESS_TTL_MS = 1_000;
+/** Longest time that a caller waits for an answer, in milliseconds. */
+const DEADLINE_MS = 2_000;
+
+/** What a caller works with. */
+export interface CallerOptions {
+  readonly fleet: PlatformFleet;
+  readonly random: Random;
+  /** Picks the key of the next request. */
+  readonly pickKey: () => string;
+  /** Mean time between two requests, in milliseconds. */
+  readonly gapMs: number;
+  readonly name: string;
+}
+
+/** Sends requests until the signal aborts; returns all records. */
+export async function runCaller(
+  options: CallerOptions,
+  signal: AbortSignal,
+): Promise<CallerRecord[]> {
+  const { fleet, random, gapMs, name } = options;
+  const records: CallerRecord[] = [];
+  const agents = new Map<PlatformVm, http.Agent>();
+  let vms: readonly PlatformVm[] = fleet.vms;
+  let askedAt = -Infinity;
+  for (let count = 0; !signal.aborted; count += 1) {
+    if (performance.now() - askedAt > ADDRESS_TTL_MS) {
+      askedAt = performance.now();
+      vms = await findVms(fleet, random) ?? vms;
+    }
+    const vm = pickOne(vms, random);
+    const agent = agents.get(vm) ?? new http.Agent({ keepAlive: true });
+    agents.set(vm, agent);
+    records.push(
+      await sendOne(options, `${name}-${count}`, vm, agent),
+    );
+    await sleep(-Math.log(1 - random()) * gapMs);
+  }
+  for (const agent of agents.values()) agent.destroy();
+  return records;
+}
+
+async function sendOne(
+  { random, pickKey }: CallerOptions,
+  id: string,
+  vm: PlatformVm,
+  agent: http.Agent,
+): Promise<CallerRecord> {
+  const isUnsafe = random() < 0.5;
+  const key = pickKey();
+  const sentAt = performance.now();
+  const end = await sendToVm(vm, {
+    path: `/${isUnsafe ? "swap" : "look"}/${id}`,
+    method: isUnsafe ? "POST" : "GET",
+    key,
+    attempt: id,
+    remainingMs: DEADLINE_MS,
+    agent,
+    ...(isUnsafe && { body: id }),
+  }).then((answer): CallerRecord["end"] => ({
+    kind: EndKind.Answered,
+    status: answer.status,
+    attempt: answer.headers[PLATFORM_DIALECT.attemptField] as
+      | string
+      | undefined,
+    path: answer.status === 200
+      ? (JSON.parse(answer.body) as { path?: string }).path
+      : undefined,
+  })).catch((error: Error): CallerRecord["end"] => ({
+    kind: EndKind.Broken,
+    reason: error.message,
+  }));
+  const endedAt = performance.now();
+  return { id, key, isUnsafe, vm, sentAt, endedAt, end };
+}
+
+/** Asks some VM which VMs to use; undefined when it does not answer. */
+async function findVms(
+  fleet: PlatformFleet,
+  random: Random,
+): Promise<PlatformVm[] | undefined> {
+  const asked = pickOne(fleet.vms, random);
+  const addresses = await Promise.race([
+    fetchResolved(asked, asked.failureDomain).catch((): string[] => []),
+    sleep(ADDRESS_TTL_MS).then((): string[] => []),
+  ]);
+  const found = fleet.vms.filter((vm) =>
+    addresses.includes(`127.0.0.1:${vm.callerPort}`)
+  );
+  return found.length > 0 ? found : undefined;
+}
+
+/** Picks one item; the list must not be empty. */
+export function pickOne<T>(items: readonly T[], random: Random): T {
+  return items[Math.floor(random() * items.length)] as T;
+}
+
+/** Waits for `ms` milliseconds. */
+export function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -21,6 +21,7 @@
 import { FleetStop } from "../../services/planned_stop/fleet_stop.ts";
 import { Quota } from "../../services/quota/mod.ts";
 import { Readiness } from "../../services/readiness/mod.ts";
+import type { DaemonSettings } from "../../settings/mod.ts";
 
 /**
  * Part of the time until a withdrawn key must be refused for which a
@@ -68,7 +69,7 @@
           incarnation: settings.incarnation,
           failureDomain: settings.failureDomain,
           callerAddress: `${host}:${port || settings.callerListen.port}`,
-          peerAddress: transport.address,
+          peerAddress: formatPeerAddress(settings, transport.address),
         },
         transport,
         directory: find(ServiceName.VmDirectory),
@@ -100,6 +101,14 @@
   }));
 }
 
+function formatPeerAddress(
+  { peerAdvertise }: DaemonSettings,
+  listening: string,
+): string {
+  const { host, port } = peerAdvertise;
+  return port === 0 ? listening : `${host}:${port}`;
+}
+
 function addFeed(kernel: Kernel<Services>): void {
   kernel.add(createServiceDefinition({
     name: ServiceName.Configuration,
--- a/src/settings/daemon_settings.ts
+++ b/src/settings/daemon_settings.ts
@@ -36,6 +36,8 @@
   readonly callerAdvertise: Address;
   /** Where peers connect. */
   readonly peerListen: Address;
+  /** Address that peers are told; its port 0 means the listening address. */
+  readonly peerAdvertise: Address;
   /** Where operators connect. */
   readonly operatorListen: Address;
   /** Base URL of the platform's log service. */
@@ -111,6 +113,11 @@
     schema: addressSchema,
     fallback: "127.0.0.1:8081",
   },
+  "peer-advertise": {
+    description: "HOST:PORT that peers are told; port 0 is the listening one",
+    schema: addressSchema,
+    fallback: "127.0.0.1:0",
+  },
   "operator-listen": {
     description: "HOST:PORT on which operators connect",
     schema: addressSchema,
@@ -242,6 +249,7 @@
       callerListen: values["caller-listen"],
       callerAdvertise: values["caller-advertise"],
       peerListen: values["peer-listen"],
+      peerAdvertise: values["peer-advertise"],
       operatorListen: values["operator-listen"],
       logUrl: values["log-url"],
       vmListUrl: values["vm-list-url"],
--- a/standins/server_standin.ts
+++ b/standins/server_standin.ts
@@ -82,6 +82,8 @@
   readonly url: string;
   readonly headers: http.IncomingHttpHeaders;
   readonly body: string;
+  /** Monotonic time in milliseconds at which it began to run. */
+  readonly runAt: number;
 }
 
 const KEEP_ALIVE_MS = 60_000;
@@ -183,6 +185,7 @@
         url: request.url ?? "",
         headers: request.headers,
         body,
+        runAt: performance.now(),
       });
     }
     await sleepMs(this.#getWorkMs());
