Take a server for gone that left while the store turned this VM away

Server i-9f886dd10d left at 25.010 s. All other VMs removed it at 25.25 s; multan-7 took the missing entry for one that had lapsed in an outage, kept it for 2.2 s, and its followers kept it with it until 27.238 s. Ruled out: a lost update (it was read at once), followers that read themselves (they had stopped when the hub was confirmed again).

Change: only where at least half of a service's servers vanish together are they kept. While such are kept the store is asked five times a second, so that the end of their time is noticed. The new test fails without it.

--- a/src/services/feed/mod.ts
+++ b/src/services/feed/mod.ts
@@ -26,6 +26,8 @@
 const DOCUMENT_WAIT_MS = 500;
 /** Longest time that a read waits for a change of a server. */
 const SERVER_WAIT_MS = 1_000;
+/** The same while servers are kept whose entry is missing, in ms. */
+const LAPSED_WAIT_MS = 200;
 /** Time between two reads of server entries, to bound calls to the store. */
 const SERVER_PAUSE_MS = 600;
 /** Delay before a failed read is tried again; doubles up to the longest. */
@@ -108,7 +110,10 @@
       }
       const read = position === undefined
         ? await servers.readNewest()
-        : await servers.readFrom(position, SERVER_WAIT_MS);
+        : await servers.readFrom(
+          position,
+          registry.hasLapsed ? LAPSED_WAIT_MS : SERVER_WAIT_MS,
+        );
       this.#recordReach(read, "servers");
       const now = clock.now();
       switch (read.kind) {
@@ -117,7 +122,10 @@
           failures = 0;
           this.#applyServers(read, position === undefined, now);
           position = read.next;
-          await clock.sleep(SERVER_PAUSE_MS, signal);
+          await clock.sleep(
+            registry.hasLapsed ? LAPSED_WAIT_MS : SERVER_PAUSE_MS,
+            signal,
+          );
           break;
         case FeedReadKind.Forgotten:
           position = undefined;
@@ -159,12 +167,14 @@
     const { registry } = this.#parts;
     if (!isNewest) {
       for (const update of read.updates) registry.apply(update, now);
+      registry.settleFew();
       return;
     }
     const entries = read.updates.flatMap((update) =>
       update.kind === ServerUpdateKind.Listed ? [update.entry] : []
     );
     registry.replaceAll(entries, read.next - 1, now);
+    registry.settleFew();
   }
 
   #recordReach(read: FeedRead<unknown>, stream: string): void {
--- a/src/services/feed/server_registry.ts
+++ b/src/services/feed/server_registry.ts
@@ -1,6 +1,6 @@
 /** The servers that registered themselves, as their entries say. */
 import { ServerPhase } from "../../model/mod.ts";
-import type { Offset, Server, ServerId } from "../../model/mod.ts";
+import type { Offset, Server, ServerId, ServiceId } from "../../model/mod.ts";
 import type { Configuration } from "../configuration/mod.ts";
 import { computeHash } from "../hashing/mod.ts";
 import type { Logger } from "../logging/mod.ts";
@@ -12,6 +12,12 @@
  * back; the platform promises about two seconds.
  */
 const LAPSE_GRACE_MS = 2_200;
+/**
+ * Part of a service's servers that must have vanished together for an outage of
+ * the store to be the likely cause. Where the store has turned this VM alone
+ * away, those few that left meanwhile are gone for good.
+ */
+const LAPSE_RATIO_MIN = 0.5;
 /** Entries of servers that are gone, kept to recognize late ones. */
 const GONE_ENTRIES_KEPT = 10_000;
 
@@ -149,6 +155,33 @@
     }
   }
 
+  /** Whether servers are kept although their entry is missing. */
+  get hasLapsed(): boolean {
+    return this.#lapsed.size > 0;
+  }
+
+  /** Removes servers that have vanished alone, after a read was applied. */
+  settleFew(): void {
+    const known = this.#countByService(this.#entries.keys());
+    const lapsed = this.#countByService(this.#lapsed.keys());
+    for (const id of [...this.#lapsed.keys()]) {
+      const entry = this.#entries.get(id);
+      if (entry === undefined) continue;
+      const { service } = entry.server;
+      const ratio = (lapsed.get(service) ?? 0) / (known.get(service) ?? 1);
+      if (ratio < LAPSE_RATIO_MIN) this.#settleGone(id, entry);
+    }
+  }
+
+  #countByService(ids: Iterable<ServerId>): Map<ServiceId, number> {
+    const counts = new Map<ServiceId, number>();
+    for (const id of ids) {
+      const service = this.#entries.get(id)?.server.service ?? "";
+      counts.set(service, (counts.get(service) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   /** Removes servers whose entry has not come back after an outage. */
   removeLapsed(now: number): void {
     for (const [id, at] of this.#lapsed) {
@@ -197,7 +230,7 @@
   }
 
   #settleGone(id: ServerId, entry: ServerEntry): void {
-    const reason = this.#lapsed.has(id) ? "lapsed in an outage" : "removed";
+    const reason = this.#lapsed.has(id) ? "missing after an outage" : "removed";
     this.#entries.delete(id);
     this.#lapsed.delete(id);
     this.#gone.set(id, entry);
--- a/src/services/feed/server_registry_test.ts
+++ b/src/services/feed/server_registry_test.ts
@@ -38,12 +38,17 @@
   };
 }
 
-function createEntry(
-  given: { sequence: number; phase?: ServerPhase; startedAt?: number },
-): ServerEntry {
+interface GivenEntry {
+  readonly sequence: number;
+  readonly phase?: ServerPhase;
+  readonly startedAt?: number;
+  readonly id?: string;
+}
+
+function createEntry(given: GivenEntry): ServerEntry {
   return {
     server: {
-      id: "s1",
+      id: given.id ?? "s1",
       service: "rota",
       host: "10.0.0.1",
       port: 80,
@@ -58,15 +63,15 @@
 
 function createListed(
   offset: number,
-  given: Parameters<typeof createEntry>[0],
+  given: GivenEntry,
 ): ServerUpdate {
   return { kind: ServerUpdateKind.Listed, offset, entry: createEntry(given) };
 }
 
-const removed = (offset: number): ServerUpdate => ({
+const removed = (offset: number, id = "s1"): ServerUpdate => ({
   kind: ServerUpdateKind.Removed,
   offset,
-  id: "s1",
+  id,
 });
 
 test("an entry written late does not revive a server that drains", () => {
@@ -147,3 +152,27 @@
   registry.replaceAll([createEntry({ sequence: 4 })], 5, 0);
   assert.deepEqual(list(), []);
 });
+
+test("a server that left while the store turned this VM away is gone at once", () => {
+  const { registry, list } = createFixture();
+  for (const [offset, id] of ["s1", "s2", "s3", "s4"].entries()) {
+    registry.apply(createListed(offset, { sequence: 1, id }), 0);
+  }
+  registry.recordOutageEnd(10_000);
+  registry.apply(removed(4, "s1"), 10_000);
+  registry.settleFew();
+  assert.deepEqual(list(), ["s2 active", "s3 active", "s4 active"]);
+});
+
+test("servers that vanish together in an outage are kept for a while", () => {
+  const { registry, list } = createFixture();
+  for (const [offset, id] of ["s1", "s2", "s3", "s4"].entries()) {
+    registry.apply(createListed(offset, { sequence: 1, id }), 0);
+  }
+  registry.recordOutageEnd(10_000);
+  registry.replaceAll([createEntry({ sequence: 2, id: "s4" })], 9, 10_000);
+  registry.settleFew();
+  assert.equal(list().length, 4);
+  registry.removeLapsed(12_300);
+  assert.deepEqual(list(), ["s4 active"]);
+});
