Let a holder of most seats confirm itself after a pause only with the log

Change: when a pause is noticed, own votes count again once a read of the log has ended, well or not.

--- a/src/services/freshness/confirmations.ts
+++ b/src/services/freshness/confirmations.ts
@@ -40,6 +40,8 @@
     this.#askedWallAt = clock.wallNow() - (clock.now() - askedAt);
   }
 
+  recordLogFailure(): void {}
+
   isFresh(): boolean {
     return this.getReport().kind === FreshnessKind.ConfirmedByLog;
   }
--- /dev/null
+++ b/src/services/freshness/freshness_test.ts
@@ -0,0 +1,74 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SEATS_PER_CELL } from "../../constants.ts";
+import { Configuration } from "../configuration/mod.ts";
+import type { Membership } from "../membership/mod.ts";
+import type { Seats } from "../seats/mod.ts";
+import { Freshness } from "./mod.ts";
+
+const SECOND_MS = 1_000;
+
+/** The holder of more than half of the seats, and what makes it count votes. */
+function createHolder(): {
+  freshness: Freshness;
+  advance: (ms: number) => void;
+} {
+  let now = 0;
+  const clock = {
+    now: () => now,
+    wallNow: () => now,
+    startTimer: () => () => {},
+    sleep: () => Promise.resolve(),
+  };
+  let countVotes: () => void = () => {};
+  const membership = {
+    self: { cell: "cell" },
+    addListener: (listener: () => void): void => {
+      countVotes = listener;
+    },
+    listPeers: () => [],
+  };
+  const held = Array.from(
+    { length: SEATS_PER_CELL / 2 + 1 },
+    (_seat, index) => ({
+      index,
+      epoch: 1,
+    }),
+  );
+  const seats = { listHeld: () => held };
+  const freshness = new Freshness({
+    clock,
+    configuration: new Configuration("cell", clock),
+    membership: membership as unknown as Membership,
+    seats: seats as unknown as Seats,
+  });
+  return {
+    freshness,
+    advance: (ms) => {
+      now += ms;
+      countVotes();
+    },
+  };
+}
+
+test("the holder of most seats confirms itself while the log is lost", () => {
+  const { freshness, advance } = createHolder();
+  freshness.recordLogRead(0);
+  for (let second = 0; second < 10; second += 1) {
+    freshness.recordLogFailure();
+    advance(SECOND_MS);
+  }
+  assert.equal(freshness.isFresh(), true);
+});
+
+test("after a freeze it confirms itself only once it has tried the log", () => {
+  const { freshness, advance } = createHolder();
+  freshness.recordLogRead(0);
+  advance(6 * SECOND_MS);
+  assert.equal(freshness.isFresh(), false);
+  advance(10);
+  assert.equal(freshness.isFresh(), false);
+  freshness.recordLogFailure();
+  advance(10);
+  assert.equal(freshness.isFresh(), true);
+});
--- a/src/services/freshness/mod.ts
+++ b/src/services/freshness/mod.ts
@@ -34,6 +34,8 @@
   getReport(): FreshnessReport;
   /** Records that a read asked for at `askedAt` reached the log's head. */
   recordLogRead(askedAt: number): void;
+  /** Records that a read of the log has failed. */
+  recordLogFailure(): void;
 }
 
 /** What the service decides by. */
@@ -54,11 +56,16 @@
   readonly #parts: FreshnessParts;
   #logAskedAt = -Infinity;
   #seatsAskedAt = -Infinity;
+  /** When a read of the log ended last, and when a pause was noticed last. */
+  #logTriedAt = -Infinity;
+  #resumedAt = -Infinity;
+  #ranAt: number;
   #skewMs: number;
 
   /** Creates a tracker without any confirmation. */
   constructor(parts: FreshnessParts) {
     this.#parts = parts;
+    this.#ranAt = parts.clock.now();
     this.#skewMs = this.#getSkewMs();
     parts.membership.addListener(() => this.#countVotes());
     parts.configuration.addListener(() => this.#countVotes());
@@ -67,6 +74,11 @@
   /** Records that a read asked for at `askedAt` reached the log's head. */
   recordLogRead(askedAt: number): void {
     this.#logAskedAt = Math.max(this.#logAskedAt, askedAt);
+    this.#logTriedAt = this.#parts.clock.now();
+  }
+
+  recordLogFailure(): void {
+    this.#logTriedAt = this.#parts.clock.now();
   }
 
   /** Whether routes that are bound to a team may be served now. */
@@ -104,7 +116,9 @@
     const { clock, seats } = this.#parts;
     const times = new Map<SeatIndex, number>();
     const now = clock.now();
-    for (const { index } of seats.listHeld()) times.set(index, now);
+    this.#checkPause();
+    const ownAt = this.#logTriedAt >= this.#resumedAt ? now : -Infinity;
+    for (const { index } of seats.listHeld()) times.set(index, ownAt);
     for (const { index, peer } of listVotes(this.#parts)) {
       const known = times.get(index) ?? -Infinity;
       times.set(index, Math.max(known, peer.echoedAt));
@@ -121,8 +135,14 @@
   /**
    * Forgets all confirmations when the wall clock has run ahead: a monotonic
    * clock may stand still while the whole VM is suspended.
+   *
+   * After any pause this VM's own seats count again only once the log was tried:
+   * the holder of more than half of them would else confirm itself.
    */
   #checkPause(): void {
+    const now = this.#parts.clock.now();
+    if (now - this.#ranAt > PAUSE_THRESHOLD_MS) this.#resumedAt = now;
+    this.#ranAt = now;
     const skewMs = this.#getSkewMs();
     const isPaused = skewMs - this.#skewMs > PAUSE_THRESHOLD_MS;
     this.#skewMs = skewMs;
--- a/src/services/log_reader/mod.ts
+++ b/src/services/log_reader/mod.ts
@@ -82,6 +82,7 @@
         this.#head = result.head;
         return await this.#loadSnapshot(result.first, signal);
       case ReadKind.Failed:
+        this.#parts.freshness.recordLogFailure();
         this.#setFailure(result.reason);
         return false;
     }
