Move reports of loads out of the exchange

The exchange had two jobs: the regular reports, and the changes of loads, which go at another pace and are kept by link. A pure move; tests are as before.

--- a/src/services/fleet/exchange.ts
+++ b/src/services/fleet/exchange.ts
@@ -4,14 +4,11 @@
 import type { Clock } from "../clock/mod.ts";
 import { LinkKind } from "./link.ts";
 import type { Link } from "./link.ts";
-import { addLoad, LoadTable } from "./load_table.ts";
-import type { LoadByServer } from "../selection/load_exchange.ts";
 import { FleetMessageKind } from "./message.ts";
 import type {
   DomainReport,
   KnownState,
   LiveVm,
-  LoadChanges,
   Report,
   Status,
   Usage,
@@ -20,8 +17,6 @@
 } from "./message.ts";
 import { UsageLedger } from "./usage_ledger.ts";
 
-/** Stands for this VM among the links that report loads. */
-const OWN = "own";
 /** Time for which another domain's word on its VMs counts. */
 const DOMAIN_TIMEOUT_MS = 3_000;
 
@@ -47,14 +42,6 @@
   checkServersDigest(digest: number, link: Link): void;
 }
 
-/** Knows what this VM has in flight and hears of the others'. */
-export interface LoadSource {
-  /** Counts what this VM has in flight. */
-  countInFlight(): LoadByServer;
-  /** Takes what all other VMs have in flight; undefined if nobody tells it. */
-  recordOthers(load: LoadByServer | undefined): void;
-}
-
 /** What the exchange works with. */
 export interface ExchangeParts {
   readonly clock: Clock;
@@ -78,12 +65,6 @@
   readonly #domainUsage = new UsageLedger();
   /** Counts of the other domains. */
   readonly #foreignUsage = new UsageLedger();
-  /** What the VMs of this domain have in flight. */
-  readonly #domainLoad = new LoadTable<Link | typeof OWN>();
-  /** What the other domains have in flight. */
-  readonly #foreignLoad = new LoadTable<Link>();
-  /** What the hub says that all other VMs have in flight. */
-  readonly #hubLoad = new LoadTable<Link>();
   readonly #domains = new Map<string, DomainView>();
   readonly #reportedLinks = new WeakSet<Link>();
   #serversDigest = 0;
@@ -95,7 +76,6 @@
   #vmsText = "";
   #getPhase: () => VmPhase = () => VmPhase.Starting;
   readonly #usage = new Map<UsageKind, UsageSource>();
-  #load: LoadSource | undefined;
   #confirmations: ConfirmationSource | undefined;
 
   /** Creates an exchange of this VM alone. */
@@ -118,11 +98,6 @@
     this.#usage.set(kind, source);
   }
 
-  /** Sets who knows what this VM has in flight. */
-  setLoadSource(source: LoadSource): void {
-    this.#load = source;
-  }
-
   /** Sets who knows of confirmations. */
   setConfirmationSource(source: ConfirmationSource): void {
     this.#confirmations = source;
@@ -167,7 +142,6 @@
     if (link.kind === LinkKind.FromHub && !hasOther) {
       this.#domains.delete(failureDomain);
     }
-    this.#removeLoad(link);
   }
 
   /** Creates what a follower tells its hub. */
@@ -195,76 +169,6 @@
     };
   }
 
-  /** Creates what a link is told of loads; undefined if nothing has changed. */
-  createLoadChanges(link: Link): LoadChanges | undefined {
-    const load = link.takeChangedLoad(this.#sumLoadFor(link));
-    return load.length === 0
-      ? undefined
-      : { kind: FleetMessageKind.Load, load };
-  }
-
-  #sumLoadFor(link: Link): LoadByServer {
-    switch (link.kind) {
-      case LinkKind.Uplink:
-        return this.#load?.countInFlight() ?? new Map();
-      case LinkKind.Follower:
-        return this.#sumOthersLoad(link);
-      case LinkKind.ToHub:
-        return this.#domainLoad.sumOthers();
-      case LinkKind.FromHub:
-      case LinkKind.Visitor:
-        return new Map();
-    }
-  }
-
-  /** Sums what all VMs have in flight but this one, or but a follower. */
-  #sumOthersLoad(except: Link | typeof OWN): LoadByServer {
-    const sums = this.#domainLoad.sumOthers(except);
-    addLoad(sums, this.#foreignLoad.sumOthers());
-    return sums;
-  }
-
-  /** Takes note of this VM's own load and tells it that of the others. */
-  recordOwnLoad(): void {
-    const own = this.#load?.countInFlight() ?? new Map();
-    this.#domainLoad.replace(OWN, own);
-    if (!this.#parts.isHub()) return;
-    this.#load?.recordOthers(this.#sumOthersLoad(OWN));
-  }
-
-  /** Takes what the other end of a link has in flight. */
-  applyLoadChanges({ load }: LoadChanges, link: Link): void {
-    switch (link.kind) {
-      case LinkKind.Uplink:
-        this.#hubLoad.applyChanges(link, load);
-        this.#load?.recordOthers(this.#hubLoad.sumOthers());
-        return;
-      case LinkKind.Follower:
-        return this.#domainLoad.applyChanges(link, load);
-      case LinkKind.FromHub:
-        return this.#foreignLoad.applyChanges(link, load);
-      case LinkKind.ToHub:
-      case LinkKind.Visitor:
-        return;
-    }
-  }
-
-  #removeLoad(link: Link): void {
-    switch (link.kind) {
-      case LinkKind.Uplink:
-        this.#hubLoad.remove(link);
-        this.#load?.recordOthers(undefined);
-        return;
-      case LinkKind.Follower:
-        return this.#domainLoad.remove(link);
-      case LinkKind.FromHub:
-        return this.#foreignLoad.remove(link);
-      case LinkKind.ToHub:
-      case LinkKind.Visitor:
-        return;
-    }
-  }
-
   #createConfirmation(link: Link): Report["confirmation"] {
     const confirmation = this.#confirmations?.getConfirmation();
     if (confirmation === undefined || link.status === undefined) {
--- a/src/services/fleet/exchange_test.ts
+++ b/src/services/fleet/load_reports_test.ts
@@ -2,18 +2,11 @@
 import { test } from "node:test";
 import type { PeerConnection } from "../membership/transport.ts";
 import type { LoadByServer } from "../selection/load_exchange.ts";
-import { Exchange } from "./exchange.ts";
 import { Link, LinkKind } from "./link.ts";
+import { LoadReports } from "./load_reports.ts";
 import { FleetMessageKind, FleetRole } from "./message.ts";
 import type { FleetMessage, VmEntry } from "./message.ts";
 
-const clock = {
-  now: () => 0,
-  wallNow: () => 0,
-  startTimer: () => () => {},
-  sleep: () => Promise.resolve(),
-};
-
 function createVm(name: string, failureDomain = "a"): VmEntry {
   return {
     name,
@@ -44,15 +37,9 @@
 
 for (const kind of [LinkKind.Follower, LinkKind.FromHub]) {
   test(`a link that ends after its successor stands takes no load away (${kind})`, () => {
-    const links = new Set<Link>();
     let others: LoadByServer | undefined;
-    const exchange = new Exchange({
-      clock,
-      self: createVm("hub"),
-      links,
-      isHub: () => true,
-    });
-    exchange.setLoadSource({
+    const reports = new LoadReports({ isHub: () => true });
+    reports.setSource({
       countInFlight: () => new Map(),
       recordOthers: (load) => void (others = load),
     });
@@ -63,16 +50,13 @@
       load: [{ server: "s1", inFlight: 2 }],
     } as const;
     for (const link of [old, successor]) {
-      links.add(link);
-      exchange.applyLoadChanges(told, link);
+      reports.applyChanges(told, link);
     }
-    links.delete(old);
-    exchange.recordLinkEnd(old);
-    exchange.recordOwnLoad();
+    reports.removeLink(old);
+    reports.recordOwn();
     assert.equal(others?.get("s1"), 2);
-    links.delete(successor);
-    exchange.recordLinkEnd(successor);
-    exchange.recordOwnLoad();
+    reports.removeLink(successor);
+    reports.recordOwn();
     assert.equal(others?.get("s1"), undefined);
   });
 }
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -8,11 +8,7 @@
 import { DirectoryReader } from "./directory.ts";
 import type { VmDirectory } from "./directory.ts";
 import { Exchange } from "./exchange.ts";
-import type {
-  ConfirmationSource,
-  LoadSource,
-  UsageSource,
-} from "./exchange.ts";
+import type { ConfirmationSource, UsageSource } from "./exchange.ts";
 import {
   isHubRole,
   Link,
@@ -22,15 +18,13 @@
 } from "./link.ts";
 import { FleetMessageKind, FleetRole } from "./message.ts";
 import type { FleetMessage, LiveVm, UsageKind, VmEntry } from "./message.ts";
+import { LoadReports } from "./load_reports.ts";
+import type { LoadSource } from "./load_reports.ts";
 import { VmList } from "./vm_list.ts";
 
 export { VmUpdateKind } from "./directory.ts";
 export type { VmDirectory, VmUpdate } from "./directory.ts";
-export type {
-  ConfirmationSource,
-  LoadSource,
-  UsageSource,
-} from "./exchange.ts";
+export type { ConfirmationSource, UsageSource } from "./exchange.ts";
 export { Link, LinkKind } from "./link.ts";
 export { FleetMessageKind, FleetRole, UsageKind } from "./message.ts";
 export type {
@@ -103,6 +97,7 @@
   readonly #directory: DirectoryReader;
   readonly #dialer: Dialer;
   readonly #exchange: Exchange;
+  readonly #loads: LoadReports;
   readonly #startedAt: number;
   #role = FleetRole.Searching;
 
@@ -123,6 +118,7 @@
     });
     this.#dialer = new Dialer({ ...parts, list, createHello });
     this.#exchange = new Exchange({ ...parts, links: this.#links, isHub });
+    this.#loads = new LoadReports({ isHub });
   }
 
   /** This VM's entry. */
@@ -147,7 +143,7 @@
 
   /** Sets who knows what this VM has in flight. */
   setLoadSource(source: LoadSource): void {
-    this.#exchange.setLoadSource(source);
+    this.#loads.setSource(source);
   }
 
   /** Sets who knows of confirmations. */
@@ -274,11 +270,11 @@
     let looks = 0;
     while (!signal.aborted) {
       looks += 1;
-      this.#exchange.recordOwnLoad();
+      this.#loads.recordOwn();
       for (const link of this.#links) {
         const isPaid = link.kind === LinkKind.ToHub;
         if (isPaid && looks % DOMAIN_LOAD_LOOKS !== 0) continue;
-        const changes = this.#exchange.createLoadChanges(link);
+        const changes = this.#loads.createChanges(link);
         if (changes !== undefined) link.send(changes);
       }
       const sendMs = this.#links.size * MS_PER_SECOND / LOAD_SENDS_PER_SECOND;
@@ -371,6 +367,7 @@
     }
     this.#links.delete(link);
     this.#exchange.recordLinkEnd(link);
+    this.#loads.removeLink(link);
     this.#parts.logger.info("a link ended", {
       vm: link.vm.name,
       link: link.kind,
@@ -427,7 +424,7 @@
       case FleetMessageKind.DomainReport:
         return this.#exchange.applyDomainReport(message, link);
       case FleetMessageKind.Load:
-        return this.#exchange.applyLoadChanges(message, link);
+        return this.#loads.applyChanges(message, link);
       case FleetMessageKind.VmsKnown:
         for (const vm of message.vms) this.#list.add(vm);
         return;
