Let the slack of second attempts grow after a start

Ruled out: the ratio's part, which each VM earns anew by its own requests.

Change: the slack grows over a window, from when the others' counts are heard.

--- a/src/services/forwarding/fleet_retry_budget.ts
+++ b/src/services/forwarding/fleet_retry_budget.ts
@@ -68,10 +68,12 @@
   readonly #services = new Map<ServiceId, ServiceCounts>();
   readonly #others = new Map<ServiceId, Usage>();
   #heardAt = -Infinity;
+  readonly #startedAt: number;
 
-  /** Creates a budget of which nothing is spent. */
+  /** Creates a budget of which nothing is spent here. */
   constructor(parts: FleetRetryParts) {
     this.#parts = parts;
+    this.#startedAt = parts.clock.now();
   }
 
   recordRequest({ service, priority }: RetryScope): void {
@@ -154,7 +156,7 @@
   #computeLeft(counts: ServiceCounts, now: number): Allowance {
     const ownRequests = counts.ownRequests.getTotal(now);
     const ownAttempts = counts.ownAttempts.getTotal(now);
-    const slack = this.#parts.slack * MARGIN_RATIO;
+    const slack = this.#computeSlack(now);
     const ratio = this.#parts.ratio * MARGIN_RATIO;
     if (this.#isIsolated(now)) {
       const limit = ratio * ownRequests + slack / this.#parts.countVms();
@@ -166,6 +168,20 @@
     return { limit, left: limit - attempts };
   }
 
+  /**
+   * Computes the second attempts beyond the ratio.
+   *
+   * A VM that has just started does not know what was spent before, which may be
+   * all of it when every VM was restarted, nor what the others spend until their
+   * counts are heard.
+   */
+  #computeSlack(now: number): number {
+    const { slack, windowMs } = this.#parts;
+    const heardMs = now - this.#startedAt - ISOLATED_MS;
+    const known = Math.min(1, Math.max(0, heardMs / windowMs));
+    return slack * MARGIN_RATIO * known;
+  }
+
   #isIsolated(now: number): boolean {
     return now - this.#heardAt > ISOLATED_MS;
   }
