Call the budget ample down to 0.45 of it

The bound that lets VMs spend without regard to each other is worked out, not measured: 0.55 of 0.9 of the contract's share, and one second attempt for each request of a tenth of the window, is 0.995 of it.

--- a/src/services/forwarding/fleet_retry_budget.ts
+++ b/src/services/forwarding/fleet_retry_budget.ts
@@ -24,7 +24,7 @@
  * other. One second attempt for each request of {@linkcode UNHEARD_MS} fits in
  * the rest of the users' share where that time is a tenth of the window.
  */
-const AMPLE_RATIO = 0.5;
+const AMPLE_RATIO = 0.45;
 
 /** What the budget is made of. */
 export interface FleetRetryParts {
