Keep the ports of test daemons out of the range of outgoing connections

Suspected: a port of a VM that was down was given to an outgoing connection, so that its daemon could not listen when it was started again; the ports were drawn from 32768 to 60999, from which Linux takes those too. They now lie below. The soak says which VM does not serve, and how its process ended.

--- a/scripts/processes.ts
+++ b/scripts/processes.ts
@@ -82,18 +82,35 @@
   return fileURLToPath(new URL(program, DIST));
 }
 
+/**
+ * Ports below those that Linux gives to outgoing connections (32768 and above):
+ * such a connection could take the port of a daemon while it is down.
+ */
+const PORT_MIN = 16_000;
+const PORT_MAX = 32_000;
+
 /** Finds `count` TCP ports that are free on the loopback address. */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => net.createServer());
-  for (const server of servers) {
-    server.listen(0, "127.0.0.1");
-    await once(server, "listening");
+  const servers: net.Server[] = [];
+  while (servers.length < count) {
+    const port = PORT_MIN + Math.floor(Math.random() * (PORT_MAX - PORT_MIN));
+    const server = await openServer(port);
+    if (server !== undefined) servers.push(server);
   }
   const ports = servers.map((server) => (server.address() as AddressInfo).port);
   for (const server of servers) server.close();
   return ports;
 }
 
+/** Listens on a port; undefined when it is taken. */
+function openServer(port: number): Promise<net.Server | undefined> {
+  const server = net.createServer();
+  return new Promise((resolve) => {
+    server.once("error", () => resolve(undefined));
+    server.listen(port, "127.0.0.1", () => resolve(server));
+  });
+}
+
 /** Waits until `check` returns true; throws after `limitMs`. */
 export async function waitUntil(
   check: () => Promise<boolean>,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -7,8 +7,9 @@
   sendToVm,
   startPlatformFleet,
 } from "../scripts/platform_fleet.ts";
-import type { PlatformFleet } from "../scripts/platform_fleet.ts";
+import type { PlatformFleet, PlatformVm } from "../scripts/platform_fleet.ts";
 import { waitUntil } from "../scripts/processes.ts";
+import { formatCause } from "../src/services/logging/mod.ts";
 import { createSeededRandom } from "../src/services/random/mod.ts";
 import { pickOne, runCaller, sleep } from "./callers.ts";
 import { FaultProxy } from "./fault_proxy.ts";
@@ -131,12 +132,26 @@
   return answers.every((isGood) => isGood);
 }
 
+/** Formats what can be seen of a VM from outside. */
+async function formatState(vm: PlatformVm): Promise<string> {
+  if (!isRunning(vm)) {
+    const { exitCode, signalCode } = vm.process;
+    return `${vm.name} ended with ${exitCode ?? signalCode}`;
+  }
+  const isReady = await fetchReady(vm).catch(() => false);
+  const path = "/look/state";
+  const answer = await sendToVm(vm, { path, key: KEY }).catch(formatCause);
+  const status = typeof answer === "string" ? answer : answer.status;
+  return `${vm.name} ${isReady ? "ready" : "not ready"}, answers ${status}`;
+}
+
 /** After the last fault every VM serves again, and goes on serving. */
 async function checkRecovery(fleet: PlatformFleet): Promise<string[]> {
   try {
     await waitUntil(() => isServing(fleet), RECOVERY_MS);
   } catch {
-    return ["some VM did not serve again after the last fault"];
+    const states = await Promise.all(fleet.vms.map(formatState));
+    return [`no recovery after the last fault: ${states.join("; ")}`];
   }
   let failed = 0;
   for (let count = 0; count < RECOVERED_REQUESTS; count += 1) {
