--- a/scripts/platform_fleet.ts
+++ b/scripts/platform_fleet.ts
@@ -26,6 +26,8 @@
   readonly directoryPort: number;
   readonly metricsPort: number;
   process: ChildProcess;
+  /** Monotonic time in milliseconds at which the process was started. */
+  startedAt: number;
 }
 
 /** A team as the operator configures it. */
@@ -144,6 +146,7 @@
   const seeds = vms.slice(0, 3)
     .map((vm) => `127.0.0.1:${ways.get(vm)?.peer}`);
   const startVm = (vm: PlatformVm): void => {
+    vm.startedAt = performance.now();
     vm.process = group.start("src/daemon/main.js", [], {
       ...createEnvironment(vm, ways.get(vm), seeds),
     });
@@ -241,6 +244,7 @@
         directoryPort,
         metricsPort,
         process: undefined as unknown as ChildProcess,
+        startedAt: -Infinity,
       };
     })
   );
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -44,6 +44,8 @@
 /** Shortest and longest duration of a fault, in milliseconds. */
 const FAULT_MIN_MS = 200;
 const FAULT_MAX_MS = 7_000;
+/** Time in which Node itself starts and no program can catch a signal. */
+const BOOT_MS = 300;
 const SERVER_MODES = Object.values(ServerMode);
 const STORE_MODES = Object.values(StoreMode);
 const PROXY_MODES = Object.values(ProxyMode);
@@ -91,7 +93,8 @@
     case FaultKind.Pause:
       return await runPause(vm, durationMs, records);
     case FaultKind.Reload:
-      if (isRunning(vm)) vm.process.kill("SIGHUP");
+      if (!isRunning(vm) || startedAt - vm.startedAt < BOOT_MS) return;
+      vm.process.kill("SIGHUP");
       note(vm.name).endedAt = performance.now();
       return;
     case FaultKind.Reset:
