--- a/scripts/platform_fleet.ts
+++ b/scripts/platform_fleet.ts
@@ -1,15 +1,13 @@
 /** A fleet on the stand-ins of the users' platform, for demo and tests. */
 import type { ChildProcess } from "node:child_process";
-import http from "node:http";
 import { PLATFORM_DIALECT } from "../platform/dialect.ts";
 import { startServerStandin } from "../standins/server_standin.ts";
 import type { ServerStandin } from "../standins/server_standin.ts";
 import { startStoreStandin } from "../standins/store_standin.ts";
 import type { StoreStandin } from "../standins/store_standin.ts";
+import { HOST } from "./platform_calls.ts";
 import { findFreePorts, ProcessGroup } from "./processes.ts";
 
-/** Host of all routes. */
-export const HOST = "rota.example";
 /** Service of all servers. */
 const SERVICE = "rota";
 const HEARTBEAT_MS = 500;
@@ -70,25 +68,6 @@
   readonly name: string;
 }
 
-/** An answer to a caller. */
-export interface PlatformAnswer {
-  readonly status: number;
-  readonly headers: http.IncomingHttpHeaders;
-  readonly body: string;
-}
-
-/** A request of a caller. */
-export interface PlatformRequest {
-  readonly path: string;
-  readonly method?: string;
-  readonly key?: string;
-  readonly host?: string;
-  readonly attempt?: string;
-  readonly remainingMs?: number;
-  readonly body?: string;
-  readonly agent?: http.Agent;
-}
-
 /** A running fleet. */
 export interface PlatformFleet {
   readonly group: ProcessGroup;
@@ -325,71 +304,3 @@
     })),
   };
 }
-
-/** Sends a request to a VM as a caller; rejects when no whole answer comes. */
-export function sendToVm(
-  vm: PlatformVm,
-  request: PlatformRequest,
-): Promise<PlatformAnswer> {
-  return fetchAnswer({
-    port: vm.callerPort,
-    path: request.path,
-    method: request.method ?? "GET",
-    ...(request.agent && { agent: request.agent }),
-    headers: {
-      host: request.host ?? HOST,
-      [PLATFORM_DIALECT.attemptField]: request.attempt ??
-        Math.random().toString(16).slice(2),
-      [PLATFORM_DIALECT.deadlineField]: String(request.remainingMs ?? 2_000),
-      ...(request.key && { authorization: `Bearer ${request.key}` }),
-      ...(request.body && {
-        "content-length": String(Buffer.byteLength(request.body)),
-      }),
-    },
-  }, request.body);
-}
-
-/** Asks a VM whether it is ready. */
-export async function fetchReady(vm: PlatformVm): Promise<boolean> {
-  const answer = await fetchAnswer({ port: vm.readyPort, path: "/readiness" });
-  return answer.status === 200;
-}
-
-/** Asks a VM which addresses a caller in a failure domain may use. */
-export async function fetchResolved(
-  vm: PlatformVm,
-  failureDomain: string,
-): Promise<string[]> {
-  const path = `/resolve?Name=${HOST}&Region=r&Zone=${failureDomain}`;
-  const answer = await fetchAnswer({ port: vm.directoryPort, path });
-  return (JSON.parse(answer.body) as { Addresses: string[] }).Addresses;
-}
-
-/** Fetches a VM's metrics. */
-export async function fetchMetrics(vm: PlatformVm): Promise<string> {
-  const answer = await fetchAnswer({ port: vm.metricsPort, path: "/metrics" });
-  return answer.body;
-}
-
-function fetchAnswer(
-  options: http.RequestOptions,
-  body?: string,
-): Promise<PlatformAnswer> {
-  return new Promise((resolve, reject) => {
-    const request = http.request(
-      { host: "127.0.0.1", ...options },
-      (response) => {
-        let text = "";
-        response.on("data", (chunk) => text += chunk);
-        response.on("error", reject);
-        response.on("end", () => {
-          if (!response.complete) return reject(new Error("cut short"));
-          const status = response.statusCode ?? 0;
-          resolve({ status, headers: response.headers, body: text });
-        });
-      },
-    );
-    request.on("error", reject);
-    request.end(body);
-  });
-}
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -1,6 +1,6 @@
 /** Callers that keep addresses and connections, and note what they got. */
 import http from "node:http";
-import { fetchResolved, sendToVm } from "../scripts/platform_fleet.ts";
+import { fetchResolved, sendToVm } from "../scripts/platform_calls.ts";
 import type { PlatformFleet, PlatformVm } from "../scripts/platform_fleet.ts";
 import { PLATFORM_DIALECT } from "../platform/dialect.ts";
 import type { Random } from "../src/services/random/mod.ts";
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -2,11 +2,8 @@
 import process from "node:process";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
-import {
-  fetchReady,
-  sendToVm,
-  startPlatformFleet,
-} from "../scripts/platform_fleet.ts";
+import { fetchReady, sendToVm } from "../scripts/platform_calls.ts";
+import { startPlatformFleet } from "../scripts/platform_fleet.ts";
 import type { PlatformFleet, PlatformVm } from "../scripts/platform_fleet.ts";
 import { waitUntil } from "../scripts/processes.ts";
 import { formatCause } from "../src/services/logging/mod.ts";
--- a/tests/platform_test.ts
+++ b/tests/platform_test.ts
@@ -7,8 +7,8 @@
   fetchReady,
   fetchResolved,
   sendToVm,
-  startPlatformFleet,
-} from "../scripts/platform_fleet.ts";
+} from "../scripts/platform_calls.ts";
+import { startPlatformFleet } from "../scripts/platform_fleet.ts";
 import type { PlatformFleet, PlatformVm } from "../scripts/platform_fleet.ts";
 import { waitUntil } from "../scripts/processes.ts";
 import { ServerMode } from "../standins/server_standin.ts";
