Catch SIGHUP before the daemon's modules are read

Static imports are all looked up and read before the first of them runs, so the module of signals, though first, ran only after some 400 others were read. Change: main.ts runs the module of signals and then imports the rest (run.ts); a line is written at the start, and the soak sends SIGHUP only after it. Test: SIGHUP while modules are looked up, sent by a loader hook, in a real process; it failed first (null, SIGHUP) and passes now (exit code 2 for missing settings). It replaces the one that only read the order of imports.

--- a/scripts/platform_fleet.ts
+++ b/scripts/platform_fleet.ts
@@ -24,8 +24,8 @@
   readonly directoryPort: number;
   readonly metricsPort: number;
   process: ChildProcess;
-  /** Monotonic time in milliseconds at which the process was started. */
-  startedAt: number;
+  /** Whether the process has written its first line. */
+  hasStarted: boolean;
 }
 
 /** A team as the operator configures it. */
@@ -125,10 +125,14 @@
   const seeds = vms.slice(0, 3)
     .map((vm) => `127.0.0.1:${ways.get(vm)?.peer}`);
   const startVm = (vm: PlatformVm): void => {
-    vm.startedAt = performance.now();
-    vm.process = group.start("src/daemon/main.js", [], {
+    const daemon = group.start("src/daemon/main.js", [], {
       ...createEnvironment(vm, ways.get(vm), seeds),
     });
+    vm.process = daemon;
+    vm.hasStarted = false;
+    daemon.stdout?.once("data", () => {
+      if (vm.process === daemon) vm.hasStarted = true;
+    });
   };
   for (const vm of vms) startVm(vm);
   let version = 0;
@@ -223,7 +227,7 @@
         directoryPort,
         metricsPort,
         process: undefined as unknown as ChildProcess,
-        startedAt: -Infinity,
+        hasStarted: false,
       };
     })
   );
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -44,8 +44,6 @@
 /** Shortest and longest duration of a fault, in milliseconds. */
 const FAULT_MIN_MS = 200;
 const FAULT_MAX_MS = 7_000;
-/** Time in which Node itself starts and no program can catch a signal. */
-const BOOT_MS = 300;
 const SERVER_MODES = Object.values(ServerMode);
 const STORE_MODES = Object.values(StoreMode);
 const PROXY_MODES = Object.values(ProxyMode);
@@ -93,7 +91,9 @@
     case FaultKind.Pause:
       return await runPause(vm, durationMs, records);
     case FaultKind.Reload:
-      if (!isRunning(vm) || startedAt - vm.startedAt < BOOT_MS) return;
+      // While Node itself starts, no program can catch a signal. That may take
+      // long: a pause may begin before it has ended.
+      if (!isRunning(vm) || !vm.hasStarted) return;
       vm.process.kill("SIGHUP");
       note(vm.name).endedAt = performance.now();
       return;
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,103 +1,11 @@
 #!/usr/bin/env node
-/** `rhubarbwalld`: the daemon, one on each entry VM. */
-import { setReloadHandler } from "./signals.ts";
-import process from "node:process";
-import yargs from "yargs";
-import { hideBin } from "yargs/helpers";
-import { createSystemClock } from "../services/clock/mod.ts";
-import { createLogging, formatCause } from "../services/logging/mod.ts";
-import {
-  DAEMON_FLAGS,
-  formatVariable,
-  ResolutionKind,
-  resolveDaemonSettings,
-} from "../settings/mod.ts";
-import type { DaemonSettings } from "../settings/mod.ts";
-import { ENVIRONMENT_PREFIX } from "../constants.ts";
-import { createDaemonKernel } from "./wiring/mod.ts";
-
-/** Part of the grace that a planned stop may use before it is given up. */
-const STOP_RATIO = 0.93;
-const EXIT_FAILURE = 1;
-const EXIT_USAGE = 2;
-
-async function parseFlags(): Promise<Record<string, unknown>> {
-  const parser = yargs(hideBin(process.argv))
-    .scriptName("rhubarbwalld")
-    .env(ENVIRONMENT_PREFIX)
-    .usage("$0 [flags]\n\nServes callers before backend servers.")
-    .strict()
-    .fail((message) => stopForUsage([message]));
-  for (const [name, flag] of Object.entries(DAEMON_FLAGS)) {
-    const fallback = "fallback" in flag ? ` [${flag.fallback}]` : "";
-    parser.option(name, {
-      type: "string",
-      describe: `${flag.description}${fallback} (${formatVariable(name)})`,
-    });
-  }
-  return await parser.parse();
-}
-
-function stopForUsage(faults: readonly string[]): never {
-  for (const fault of faults) process.stderr.write(`rhubarbwalld: ${fault}\n`);
-  process.exit(EXIT_USAGE);
-}
-
-async function runDaemon(settings: DaemonSettings): Promise<void> {
-  const clock = createSystemClock();
-  const logging = createLogging({
-    level: settings.logLevel,
-    format: settings.logFormat,
-    vm: settings.vm,
-  });
-  const logger = logging.createLogger("daemon");
-  const kernel = createDaemonKernel({
-    settings,
-    logging,
-    observer: {
-      recordFailure: (owner, cause) =>
-        logger.error(`${owner} failed: ${formatCause(cause)}`),
-    },
-  });
-  const stopRequested = waitForSignal();
-  setReloadHandler(() => {
-    logger.info("keeps its settings, which are fixed from the start", {
-      vm: settings.vm,
-      incarnation: settings.incarnation,
-    });
-  });
-  await kernel.start();
-  logger.info(`serves as incarnation ${settings.incarnation}`, {
-    incarnation: settings.incarnation,
-    failureDomain: settings.failureDomain,
-    backing: settings.backing,
-  });
-  await stopRequested;
-  process.once("SIGTERM", () => process.exit(EXIT_FAILURE));
-  process.once("SIGINT", () => process.exit(EXIT_FAILURE));
-  logger.info("stops as planned");
-  const isStopped = await kernel.stop(
-    clock.sleep(settings.graceMs * STOP_RATIO),
-  );
-  logger.info(isStopped ? "stopped" : "stopped before all work had ended");
-  process.exit(isStopped ? 0 : EXIT_FAILURE);
-}
-
-function waitForSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    process.once("SIGTERM", () => resolve());
-    process.once("SIGINT", () => resolve());
-  });
-}
-
-const resolution = resolveDaemonSettings(await parseFlags(), Date.now());
-switch (resolution.kind) {
-  case ResolutionKind.Invalid:
-    stopForUsage(resolution.faults);
-    break;
-  case ResolutionKind.Resolved:
-    await runDaemon(resolution.settings).catch((cause: unknown) => {
-      process.stderr.write(`rhubarbwalld: ${formatCause(cause)}\n`);
-      process.exit(EXIT_FAILURE);
-    });
-}
+/**
+ * `rhubarbwalld`: the daemon, one on each entry VM.
+ *
+ * Static imports are all looked up and read before the first of them runs, so
+ * the rest is imported once signals are caught.
+ */
+import "./signals.ts";
+
+const { run } = await import("./run.ts");
+await run();
--- a/src/daemon/signals.ts
+++ b/src/daemon/signals.ts
@@ -2,7 +2,7 @@
  * Catches SIGHUP from the first moment on.
  *
  * Its default action ends a process. The platform may send it while the modules
- * of the daemon are still being loaded, so this one is imported before them.
+ * of the daemon are still being loaded, so this one runs before they are read.
  */
 import process from "node:process";
 
--- a/src/daemon/signals_test.ts
+++ b/src/daemon/signals_test.ts
@@ -1,7 +1,29 @@
 import assert from "node:assert/strict";
-import { readFileSync } from "node:fs";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
 import process from "node:process";
 import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+
+/** Exit code of a daemon that was given no settings. */
+const EXIT_USAGE = 2;
+/** Loader hook that sends SIGHUP to its own process when a module is looked up. */
+const HOOK = `
+import process from "node:process";
+export async function resolve(specifier, context, next) {
+  if (specifier === "yargs") {
+    process.kill(process.pid, "SIGHUP");
+    await new Promise((resolve) => setTimeout(resolve, 100));
+  }
+  return next(specifier, context);
+}`;
+const REGISTER = `
+import { register } from "node:module";
+register(${JSON.stringify(formatUrl(HOOK))});`;
+
+function formatUrl(source: string): string {
+  return `data:text/javascript,${encodeURIComponent(source)}`;
+}
 
 test("SIGHUP is caught as soon as the module of signals is loaded", async () => {
   const { setReloadHandler } = await import("./signals.ts");
@@ -13,8 +35,13 @@
   clearInterval(timer);
 });
 
-test("the daemon loads the module of signals before all others", () => {
-  const main = readFileSync(new URL("./main.js", import.meta.url), "utf8");
-  const [first] = main.match(/^import .*$/m) ?? [];
-  assert.match(first ?? "", /signals/);
+test("SIGHUP while modules are looked up does not end the daemon", async () => {
+  const main = fileURLToPath(new URL("./main.js", import.meta.url));
+  const daemon = spawn(
+    process.execPath,
+    ["--import", formatUrl(REGISTER), main],
+    { stdio: "ignore" },
+  );
+  const [code, signal] = await once(daemon, "exit");
+  assert.deepEqual([code, signal], [EXIT_USAGE, null]);
 });
