Refuse the less urgent at once while a service's queue stands

Cause: nothing decided who is refused when a service has more work than it can do. Ruled out: concurrency limits of each VM; one VM of many sees few requests at a time and never reaches its own limit. Retry-After is the time by which the queue is too long, spread; that of other refusals is the time until a slot is expected to be free.

--- a/src/daemon/wiring/request_path.ts
+++ b/src/daemon/wiring/request_path.ts
@@ -11,6 +11,7 @@
 import { Detector } from "../../services/detector/mod.ts";
 import { Dispatch } from "../../services/dispatch/mod.ts";
 import { Forwarding } from "../../services/forwarding/mod.ts";
+import { Overload } from "../../services/overload/mod.ts";
 import { Selection } from "../../services/selection/mod.ts";
 
 /** Adds the services of the request path. */
@@ -85,6 +86,11 @@
     needs: [],
     create: () => new Dispatch(),
   }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.Overload,
+    needs: [ServiceName.Random],
+    create: (find) => new Overload(find(ServiceName.Random)),
+  }));
   kernel.add(createServiceDefinition({
     name: ServiceName.UpstreamClient,
     needs: [],
@@ -103,6 +109,7 @@
       ServiceName.Selection,
       ServiceName.Detector,
       ServiceName.Dispatch,
+      ServiceName.Overload,
       ServiceName.UpstreamClient,
       ServiceName.Metrics,
       ServiceName.Random,
@@ -117,6 +124,7 @@
         selection: find(ServiceName.Selection),
         detector: find(ServiceName.Detector),
         dispatch: find(ServiceName.Dispatch),
+        overload: find(ServiceName.Overload),
         upstream: find(ServiceName.UpstreamClient),
         metrics: find(ServiceName.Metrics),
         random: find(ServiceName.Random),
--- a/src/model/outcomes.ts
+++ b/src/model/outcomes.ts
@@ -76,6 +76,8 @@
   /** No VM that holds a part of the team's limits can be reached. */
   ShareMissing = "share_missing",
   QueueFull = "queue_full",
+  /** Its service has more work than it can do in time. */
+  Overloaded = "overloaded",
   DeadlineExpired = "deadline_expired",
   ServerUnavailable = "server_unavailable",
   AnswerLost = "answer_lost",
--- a/src/services/catalog.ts
+++ b/src/services/catalog.ts
@@ -34,6 +34,7 @@
 import type { Metrics } from "./metrics/mod.ts";
 import type { OperatorFront } from "./operator_front/mod.ts";
 import type { OperatorServer } from "./operator_front/mod.ts";
+import type { Overload } from "./overload/mod.ts";
 import type { FleetStop } from "./planned_stop/fleet_stop.ts";
 import type { PlannedStop } from "./planned_stop/mod.ts";
 import type { Quota } from "./quota/mod.ts";
@@ -73,6 +74,7 @@
   Detector = "detector",
   Selection = "selection",
   Dispatch = "dispatch",
+  Overload = "overload",
   UpstreamClient = "upstream_client",
   Forwarding = "forwarding",
   CallerServer = "caller_server",
@@ -132,6 +134,7 @@
   [ServiceName.Detector]: Detector;
   [ServiceName.Selection]: Selection;
   [ServiceName.Dispatch]: Dispatch;
+  [ServiceName.Overload]: Overload;
   [ServiceName.UpstreamClient]: UpstreamClient;
   [ServiceName.Forwarding]: Forwarding;
   [ServiceName.CallerServer]: CallerServer;
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -14,6 +14,7 @@
 import type { Dispatch } from "../dispatch/mod.ts";
 import { Counter } from "../metrics/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import type { Overload } from "../overload/mod.ts";
 import type { Selection } from "../selection/mod.ts";
 import { AnswerBodyKind, readAnswerBody } from "./answer_body.ts";
 import type { AnswerBody } from "./answer_body.ts";
@@ -51,6 +52,7 @@
   readonly dispatch: Dispatch;
   readonly upstream: UpstreamClient;
   readonly metrics: Metrics;
+  readonly overload: Overload;
   /** Prefix of attempt ids, unique to this start of the daemon. */
   readonly attemptPrefix: string;
 }
@@ -71,11 +73,12 @@
     server: Server,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const { dispatch, selection, detector, clock, metrics } = this.#parts;
+    const { dispatch, selection, detector, overload, clock, metrics } =
+      this.#parts;
     return await dispatch.runOnServer(server.id, async () => {
       const watched = detector.recordStart(server);
       metrics.add(Counter.Attempts);
-      selection.recordStart(server.id);
+      const hadRoom = selection.recordStart(server);
       const attempt = this.#createAttempt(job, server, signal);
       const outcome = await this.#parts.upstream.send(attempt);
       const result = outcome.kind === OutcomeKind.Answered
@@ -91,8 +94,13 @@
           latencyMs: isGood(result) ? latencyMs : undefined,
           load: answer.load,
           isShed: answer.isNotRun,
+          hadRoom,
         },
       );
+      if (isGood(result) && hadRoom) {
+        const { service, route } = job.plan;
+        overload.recordWork(service, route.id, latencyMs);
+      }
       if (answer) detector.recordDraining(server, answer.isDraining);
       detector.recordEnd(watched, getVerdict(result));
       return result;
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -10,6 +10,7 @@
 import type { Logger } from "../logging/mod.ts";
 import { Counter } from "../metrics/mod.ts";
 import type { Random } from "../random/mod.ts";
+import { OverloadKind } from "../overload/mod.ts";
 import { FailureStake } from "../selection/mod.ts";
 import { AnswerBodyKind } from "./answer_body.ts";
 import { AttemptRunner, isFinal, isRepeatable } from "./attempt_runner.ts";
@@ -104,6 +105,8 @@
     const { plan, signal } = job;
     const { dispatch, selection } = this.#parts;
     const { service } = plan;
+    const overloaded = this.#checkOverload(plan);
+    if (overloaded !== undefined) return await this.#refuse(job, overloaded);
     dispatch.setServiceConcurrency(service, selection.countSlots(service));
     const result = await dispatch.run(
       {
@@ -133,6 +136,45 @@
     }
   }
 
+  /** Decides whether the request's service has too much to do for it. */
+  #checkOverload(plan: RequestPlan): Refusal | undefined {
+    const { clock, overload, selection, logger } = this.#parts;
+    const { route, service, priority } = plan;
+    const now = clock.now();
+    const queueMs = selection.getQueueMs(service);
+    const leftMs = plan.deadlineAt - now;
+    const decision = overload.decide({
+      service,
+      route: route.id,
+      priority,
+      queueMs,
+      targetMs: route.targetMs,
+      leftMs,
+    }, now);
+    switch (decision.kind) {
+      case OverloadKind.Accepted:
+        return undefined;
+      case OverloadKind.Refused: {
+        logger.info("refuses a request of a service with too much to do", {
+          request: plan.attempt ?? "",
+          service,
+          route: route.id,
+          priority,
+          reason: decision.reason,
+          queueMs: Math.round(queueMs),
+          leftMs: Math.round(leftMs),
+          excessMs: Math.round(decision.excessMs),
+        });
+        const retryAfterMs = this.#spreadRetryAfter(decision.excessMs);
+        return createRefusal(
+          RefusalKind.Overloaded,
+          Step.Queue,
+          retryAfterMs,
+        );
+      }
+    }
+  }
+
   /** Tries one server after the other until one answers or none may be tried. */
   async #runAttempts(job: Job): Promise<Refusal | undefined> {
     const { plan } = job;
@@ -303,10 +345,15 @@
     );
   }
 
-  /** Gets a time after which a service that was short of room has some again. */
-  #getRetryAfterMs(_plan: RequestPlan): number {
-    const { random } = this.#parts;
-    return RETRY_AFTER_MIN_MS + random() * RETRY_AFTER_SPREAD_MS;
+  /** Gets the time after which a server is expected to have a free slot. */
+  #getRetryAfterMs(plan: RequestPlan): number {
+    const queueMs = this.#parts.selection.getQueueMs(plan.service);
+    return this.#spreadRetryAfter(queueMs);
+  }
+
+  #spreadRetryAfter(ms: number): number {
+    const spreadMs = this.#parts.random() * RETRY_AFTER_SPREAD_MS;
+    return Math.max(RETRY_AFTER_MIN_MS, ms) + spreadMs;
   }
 
   #takeRetry(plan: RequestPlan): boolean {
--- a/src/services/selection/mod.ts
+++ b/src/services/selection/mod.ts
@@ -41,6 +41,9 @@
 /** Difference of penalties up to which servers are taken to be alike. */
 const ALIKE_RATIO = 0.2;
 
+/** Chance of a fault from which a server is no longer taken to be sound. */
+const SOUND_CHANCE_MAX = 0.5;
+
 /** What selection decides by. */
 export interface SelectionParts {
   readonly configuration: Configuration;
@@ -68,6 +71,8 @@
   readonly load: LoadReport | undefined;
   /** Whether the server had no room for the request. */
   readonly isShed: boolean;
+  /** Whether the request found a free slot, as far as was known. */
+  readonly hadRoom: boolean;
 }
 
 /** What is lost when a server fails an attempt. */
@@ -92,6 +97,8 @@
   /** When a request last tested a suspect of each service. */
   readonly #testedAt = new Map<ServiceId, number>();
   readonly #usualMs = new Map<ServiceId, number>();
+  /** Time of a request that does not wait, in milliseconds. */
+  readonly #workMs = new Map<ServiceId, number>();
   readonly #loads = new Map<ServerId, ServerLoad>();
 
   /** Creates the service without any experience of servers. */
@@ -132,9 +139,28 @@
       .reduce((sum, server) => sum + server.slots, 0);
   }
 
-  /** Records that an attempt starts. */
-  recordStart(server: ServerId): void {
-    this.#getLoad(server).recordStart();
+  /**
+   * Gets the shortest expected wait for a slot, in milliseconds.
+   *
+   * A server that is likely to be faulty has a short queue since it is avoided.
+   */
+  getQueueMs(service: ServiceId): number {
+    const { detector } = this.#parts;
+    const servers = this.#listAdmitted(service, new Set());
+    const sound = servers.filter((server) =>
+      detector.getFaultChance(server) < SOUND_CHANCE_MAX
+    );
+    const usable = sound.length > 0 ? sound : servers;
+    if (usable.length === 0) return 0;
+    const turns = usable.map((server) => this.#countTurns(server));
+    return Math.min(...turns) * (this.#workMs.get(service) ?? 0);
+  }
+
+  /** Records that an attempt starts; returns whether it finds a free slot. */
+  recordStart(server: Server): boolean {
+    const hasRoom = this.#countTurns(server) === 0;
+    this.#getLoad(server.id).recordStart();
+    return hasRoom;
   }
 
   /** Records that an attempt has ended, and what it told. */
@@ -143,9 +169,9 @@
     const at = this.#parts.clock.now();
     this.#getLoad(server.id).recordEnd(report && { ...report, usualMs, at });
     if (report?.latencyMs === undefined) return;
-    const weight = this.#usualMs.has(server.service) ? USUAL_WEIGHT : 1;
-    const change = weight * (report.latencyMs - usualMs);
-    this.#usualMs.set(server.service, usualMs + change);
+    const { latencyMs, hadRoom } = report;
+    recordUsual(this.#usualMs, server.service, latencyMs);
+    if (hadRoom) recordUsual(this.#workMs, server.service, latencyMs);
   }
 
   /** Lists all servers as this VM sees them. */
@@ -282,6 +308,14 @@
     return waitMs / ramp;
   }
 
+  #countTurns(server: Server): number {
+    return this.#getLoad(server.id).countTurns(
+      server.slots,
+      this.#parts.clock.now(),
+      this.#parts.loads.countOthers(server.id),
+    );
+  }
+
   #countInFlight(): LoadByServer {
     const counts = new Map<ServerId, number>();
     for (const [server, { inFlight }] of this.#loads) {
@@ -299,6 +333,16 @@
   }
 }
 
+/** Moves what is usual for a service towards the newest latency. */
+function recordUsual(
+  usual: Map<ServiceId, number>,
+  service: ServiceId,
+  latencyMs: number,
+): void {
+  const before = usual.get(service) ?? latencyMs;
+  usual.set(service, before + USUAL_WEIGHT * (latencyMs - before));
+}
+
 /** Gets what even odds of a fault cost, in multiples of a latency. */
 function getFailureRatio(stake: FailureStake): number {
   switch (stake) {
--- a/src/services/selection/selection_test.ts
+++ b/src/services/selection/selection_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { SlottedServer } from "../../../standins/slotted_server.ts";
 import { VirtualClock, VirtualTime } from "../../../standins/virtual_clock.ts";
 import { ServerPhase } from "../../model/mod.ts";
 import type { Server } from "../../model/mod.ts";
@@ -26,33 +27,6 @@
   readonly waited: number;
 }
 
-/** A server whose requests wait in order for a slot. */
-class SlottedServer {
-  readonly #time: VirtualTime;
-  readonly #waiting: (() => void)[] = [];
-  #running = 0;
-
-  constructor(time: VirtualTime) {
-    this.#time = time;
-  }
-
-  /** Runs one request; resolves with the time that it waited for a slot. */
-  async run(workMs: number): Promise<number> {
-    const arrivedAt = this.#time.now;
-    if (this.#running >= SLOTS) {
-      await new Promise<void>((resolve) => this.#waiting.push(resolve));
-    } else this.#running += 1;
-    const waitedMs = this.#time.now - arrivedAt;
-    await new Promise<void>((resolve) => {
-      this.#time.startTimer(workMs, resolve);
-    });
-    const next = this.#waiting.shift();
-    if (next === undefined) this.#running -= 1;
-    else next();
-    return waitedMs;
-  }
-}
-
 function createDetector(): Detector {
   const detector: Partial<Detector> = {
     getStanding: () => ServerStanding.Admitted,
@@ -104,7 +78,7 @@
   const configuration = createConfiguration(clock);
   const servers = new Map(
     [...configuration.state.servers.keys()]
-      .map((id) => [id, new SlottedServer(time)]),
+      .map((id) => [id, new SlottedServer(time, SLOTS)]),
   );
   const table = new LoadTable<number>();
   const sources: (() => LoadByServer)[] = [];
@@ -131,7 +105,7 @@
       ? pickRandom()
       : selection.selectServers(SERVICE, FailureStake.Request)
         .next().value as Server;
-    selection.recordStart(server.id);
+    const hadRoom = selection.recordStart(server);
     const startedAt = time.now;
     const waitedMs = await servers.get(server.id)?.run(computeWorkMs(random)) ??
       0;
@@ -141,6 +115,7 @@
       latencyMs: time.now - startedAt,
       load: undefined,
       isShed: false,
+      hadRoom,
     });
   };
   const perMs = given.utilization * SERVERS * SLOTS / WORK_MS;
--- a/src/services/selection/server_load.ts
+++ b/src/services/selection/server_load.ts
@@ -67,6 +67,15 @@
     return this.inFlight + this.#foreign < slots;
   }
 
+  /**
+   * Counts the requests that one more would have to wait for, were each slot to
+   * take one after the other; a fraction where not all slots have to.
+   */
+  countTurns(slots: number, now: number, told: number | undefined): number {
+    const ahead = this.inFlight + (told ?? this.#getForeign(now));
+    return Math.max(0, ahead + 1 - slots) / slots;
+  }
+
   /**
    * Gets the expected time until one more request would be answered.
    *
@@ -80,8 +89,8 @@
     told: number | undefined,
   ): number {
     const ahead = this.inFlight + (told ?? this.#getForeign(now));
-    const queued = Math.max(0, ahead + 1 - slots);
-    const load = BUSY_RATIO * ahead / slots + queued / slots;
+    const load = BUSY_RATIO * ahead / slots +
+      this.countTurns(slots, now, told);
     const fullMs = now < this.#fullUntil ? usualMs : 0;
     return this.getLatencyMs(usualMs, now) * (1 + load) + fullMs;
   }
--- /dev/null
+++ b/standins/slotted_server.ts
@@ -0,0 +1,37 @@
+/** A backend server in virtual time: slots, and a queue in order of arrival. */
+import type { VirtualTime } from "./virtual_clock.ts";
+
+/** A server that does a given amount of work for each request. */
+export class SlottedServer {
+  readonly #time: VirtualTime;
+  readonly #slots: number;
+  readonly #waiting: (() => void)[] = [];
+  #running = 0;
+
+  /** Creates an idle server. */
+  constructor(time: VirtualTime, slots: number) {
+    this.#time = time;
+    this.#slots = slots;
+  }
+
+  /** Requests that run or wait. */
+  get inFlight(): number {
+    return this.#running + this.#waiting.length;
+  }
+
+  /** Runs one request; resolves with the time that it waited for a slot. */
+  async run(workMs: number): Promise<number> {
+    const arrivedAt = this.#time.now;
+    if (this.#running >= this.#slots) {
+      await new Promise<void>((resolve) => this.#waiting.push(resolve));
+    } else this.#running += 1;
+    const waitedMs = this.#time.now - arrivedAt;
+    await new Promise<void>((resolve) => {
+      this.#time.startTimer(workMs, resolve);
+    });
+    const next = this.#waiting.shift();
+    if (next === undefined) this.#running -= 1;
+    else next();
+    return waitedMs;
+  }
+}
