--- a/src/protocols/fleet/message_codec.ts
+++ b/src/protocols/fleet/message_codec.ts
@@ -142,12 +142,17 @@
   },
 };
 
-/** Whether a value is a list of tuples of one name and some whole numbers. */
-function isTupleList(value: unknown, numbers: number): boolean {
+/**
+ * Whether a value is a list of tuples of one name and some whole numbers, none
+ * below `least`.
+ */
+function isTupleList(value: unknown, numbers: number, least: number): boolean {
+  const isNumber = (item: unknown): boolean =>
+    Number.isSafeInteger(item) && Number(item) >= least;
   return Array.isArray(value) &&
     value.every((tuple) =>
       Array.isArray(tuple) && tuple.length === numbers + 1 &&
-      isName(tuple[0]) && tuple.slice(1).every(Number.isSafeInteger)
+      isName(tuple[0]) && tuple.slice(1).every(isNumber)
     );
 }
 
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -143,7 +143,7 @@
     const now = clock.now();
     const queueMs = selection.getQueueMs(service);
     const leftMs = plan.deadlineAt - now;
-    const decision = overload.decide({
+    const decision = overload.judge({
       service,
       route: route.id,
       priority,
@@ -165,7 +165,7 @@
           leftMs: Math.round(leftMs),
           excessMs: Math.round(decision.excessMs),
         });
-        const retryAfterMs = this.#spreadRetryAfter(decision.excessMs);
+        const retryAfterMs = this.#computeRetryAfterMs(decision.excessMs);
         return createRefusal(
           RefusalKind.Overloaded,
           Step.Queue,
@@ -348,10 +348,10 @@
   /** Gets the time after which a server is expected to have a free slot. */
   #getRetryAfterMs(plan: RequestPlan): number {
     const queueMs = this.#parts.selection.getQueueMs(plan.service);
-    return this.#spreadRetryAfter(queueMs);
+    return this.#computeRetryAfterMs(queueMs);
   }
 
-  #spreadRetryAfter(ms: number): number {
+  #computeRetryAfterMs(ms: number): number {
     const spreadMs = this.#parts.random() * RETRY_AFTER_SPREAD_MS;
     return Math.max(RETRY_AFTER_MIN_MS, ms) + spreadMs;
   }
--- a/src/services/overload/mod.ts
+++ b/src/services/overload/mod.ts
@@ -135,15 +135,15 @@
   }
 
   /** Decides on a request at the monotonic time `now`. */
-  decide(demand: Demand, now: number): OverloadDecision {
+  judge(demand: Demand, now: number): OverloadDecision {
     const service = this.#getService(demand.service);
-    const decision = this.#judge(service, demand, now);
+    const decision = this.#judgeDemand(service, demand, now);
     const newest = decision.kind === OverloadKind.Accepted ? 1 : 0;
     service.accepted += ACCEPTED_WEIGHT * (newest - service.accepted);
     return decision;
   }
 
-  #judge(
+  #judgeDemand(
     service: ServiceState,
     demand: Demand,
     now: number,
--- a/src/services/overload/overload_test.ts
+++ b/src/services/overload/overload_test.ts
@@ -25,7 +25,7 @@
 
 test("a request that no server would begin with in time is refused at once", () => {
   const overload = createOverload();
-  const decision = overload.decide({ ...DEMAND, queueMs: 2_300 }, 0);
+  const decision = overload.judge({ ...DEMAND, queueMs: 2_300 }, 0);
   assert.deepEqual(decision, {
     kind: OverloadKind.Refused,
     reason: OverloadReason.CannotStart,
@@ -36,7 +36,7 @@
 test("a queue that lasts less than half a second refuses nobody", () => {
   const overload = createOverload();
   for (let now = 0; now < 500; now += 20) {
-    const decision = overload.decide(
+    const decision = overload.judge(
       { ...DEMAND, priority: 2, queueMs: 1_500 },
       now,
     );
@@ -49,7 +49,7 @@
   overload.recordWork(DEMAND.service, "short", 50);
   const demand = { ...DEMAND, priority: 2, queueMs: 700 };
   for (let now = 0; now < 2_000; now += 100) {
-    const short = overload.decide({ ...demand, route: "short" }, now);
+    const short = overload.judge({ ...demand, route: "short" }, now);
     assert.equal(short.kind, OverloadKind.Accepted);
   }
 });
@@ -58,7 +58,7 @@
   const overload = createOverload();
   overload.recordWork(DEMAND.service, "slow", 900);
   for (let now = 0; now < 2_000; now += 100) {
-    const decision = overload.decide(
+    const decision = overload.judge(
       { ...DEMAND, route: "slow", priority: 2, queueMs: 850 },
       now,
     );
--- a/standins/overload_run.ts
+++ b/standins/overload_run.ts
@@ -86,7 +86,7 @@
     result.urgentRequests += isUrgent ? 1 : 0;
     addOne(result.requestsByTeam, team);
     const turns = Math.min(...known.map((count) => count + 1 - SLOTS)) / SLOTS;
-    const decision = overload.decide({
+    const decision = overload.judge({
       service: "rota",
       route: isUrgent ? "swap" : "lookup",
       priority: isUrgent ? 1 : 2,
