--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,13 +1,16 @@
 /** Runs a measurement by name: `npm run bench -- path`. */
 import process from "node:process";
 import { runGrayBench } from "./gray.ts";
+import { runOverloadBench, runRetryBench } from "./overload.ts";
 import { runPathBench } from "./path.ts";
 import { runSharesBench } from "./shares.ts";
 import { runSlopesBench } from "./slopes.ts";
 
 const BENCHES: Readonly<Record<string, () => Promise<void>>> = {
   gray: runGrayBench,
+  overload: runOverloadBench,
   path: runPathBench,
+  retry: runRetryBench,
   shares: runSharesBench,
   slopes: runSlopesBench,
 };
--- /dev/null
+++ b/bench/overload.ts
@@ -0,0 +1,128 @@
+/** Who is served when a service gets more than it can do, in virtual time. */
+import {
+  OVERLOAD_CAPACITY_PER_S,
+  OVERLOAD_TEAMS,
+  OverloadPolicy,
+  runOverload,
+} from "../standins/overload_run.ts";
+import type { OverloadResult } from "../standins/overload_run.ts";
+import { printLine, printTable } from "./report.ts";
+
+const SEED = 1;
+const RUN_MS = 30_000;
+const LOADS = [1, 1.5, 2, 4];
+/** What the heavy team sends, in multiples of each other one. */
+const HEAVY = 5;
+/** Part of the capacity that all limits add up to. */
+const LIMITED_PART = 0.9;
+
+/** Prints goodput at several loads, and how teams fare beside a heavy one. */
+export async function runOverloadBench(): Promise<void> {
+  printLine("two in five urgent; in time and served as parts of the capacity");
+  const rows = [
+    ["load", "policy", "in time", "served", "urgent in time", "worst kind"],
+  ];
+  for (const load of LOADS) {
+    for (const policy of Object.values(OverloadPolicy)) {
+      const result = await runOverload({
+        seed: SEED,
+        steps: [{ load, forMs: RUN_MS }],
+        urgentShare: 0.4,
+        policy,
+      });
+      rows.push([
+        String(load),
+        policy,
+        formatPart(result.inTime, result.capacity),
+        formatPart(result.served, result.capacity),
+        formatPart(result.urgentInTime, result.urgentRequests),
+        formatRatio(getWorstShare(result)),
+      ]);
+    }
+  }
+  printTable(rows);
+  printLine("");
+  await printHeavyTeam();
+}
+
+async function printHeavyTeam(): Promise<void> {
+  const limit = LIMITED_PART * OVERLOAD_CAPACITY_PER_S / OVERLOAD_TEAMS;
+  const limits = { ratePerSecond: limit, burst: limit / 2 };
+  printLine("one team at five times its rate, the others at 0.95 of theirs");
+  const rows = [["limits", "policy", "worst other team", "heavy team"]];
+  const load = 0.95 * LIMITED_PART * (HEAVY + OVERLOAD_TEAMS - 1) /
+    OVERLOAD_TEAMS;
+  for (const given of [limits, undefined]) {
+    for (const policy of [OverloadPolicy.Decided, OverloadPolicy.Fifo]) {
+      const result = await runOverload({
+        seed: SEED,
+        steps: [{ load, forMs: RUN_MS }],
+        heavy: HEAVY,
+        policy,
+        ...(given && { limits: given }),
+      });
+      const shares = Array.from(
+        { length: OVERLOAD_TEAMS },
+        (_team, team) => getTeamShare(result, team),
+      );
+      rows.push([
+        given === undefined ? "none" : "rate and burst",
+        policy,
+        formatRatio(Math.min(...shares.slice(1))),
+        formatRatio(shares[0] ?? 0),
+      ]);
+    }
+  }
+  printTable(rows);
+}
+
+/** Prints what callers that send again at once do to the servers. */
+export async function runRetryBench(): Promise<void> {
+  printLine("requests as parts of the capacity; refused callers retry at once");
+  const rows = [["load", "retries", "policy", "arrivals", "in time", "served"]];
+  for (const load of [0.9, 1.5]) {
+    for (const callerRetries of [0, 3, 10]) {
+      for (const policy of Object.values(OverloadPolicy)) {
+        const result = await runOverload({
+          seed: SEED,
+          steps: [{ load, forMs: RUN_MS }],
+          callerRetries,
+          policy,
+        });
+        rows.push([
+          String(load),
+          String(callerRetries),
+          policy,
+          formatPart(result.arrivals, result.capacity),
+          formatPart(result.inTime, result.capacity),
+          formatPart(result.served, result.capacity),
+        ]);
+      }
+    }
+  }
+  printTable(rows);
+}
+
+/** Gets the least part served of any kind, over the part served of all. */
+function getWorstShare(result: OverloadResult): number {
+  const all = result.served / result.requests;
+  const shares = [...result.requestsByTeam].map(([kind, count]) =>
+    (result.servedByTeam.get(kind) ?? 0) / count
+  );
+  return Math.min(...shares) / all;
+}
+
+function getTeamShare(result: OverloadResult, team: number): number {
+  const kinds = [`urgent ${team}`, `other ${team}`];
+  const sum = (counts: ReadonlyMap<string, number>): number =>
+    kinds.reduce((total, kind) => total + (counts.get(kind) ?? 0), 0);
+  return sum(result.servedByTeam) / sum(result.requestsByTeam);
+}
+
+function formatPart(count: number, all: number): string {
+  return formatRatio(count / all);
+}
+
+function formatRatio(ratio: number): string {
+  return ratio.toFixed(2);
+}
--- a/src/services/overload/overload_test.ts
+++ b/src/services/overload/overload_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { runOverload } from "../../../standins/overload_run.ts";
+import { OverloadPolicy, runOverload } from "../../../standins/overload_run.ts";
 import { createSeededRandom } from "../random/mod.ts";
 import { Overload, OverloadKind, OverloadReason } from "./mod.ts";
 import type { Demand } from "./mod.ts";
@@ -84,7 +84,7 @@
     const steps = [{ load: 2, forMs: 15_000 }];
     const given = { seed, steps, urgentShare: 0.4 };
     const decided = await runOverload(given);
-    const open = await runOverload({ ...given, isOpen: true });
+    const open = await runOverload({ ...given, policy: OverloadPolicy.Open });
     const urgent = decided.urgentInTime / decided.urgentRequests;
     assert.ok(urgent > 0.7, `${urgent} of the urgent ones`);
     assert.ok(decided.inTime > 0.85 * decided.capacity);
