Wait for a line that is on its way in the page's test

Cause: the test failed once in five runs: a daemon's answer can be here before its line has come through the pipe, so that grep found nothing. Change: the test waits until the line is there.

--- a/tests/operations_test.ts
+++ b/tests/operations_test.ts
@@ -15,6 +15,7 @@
 const START_LIMIT_MS = 15_000;
 /** Longer than a configuration counts as confirmed on this fleet. */
 const STALE_LIMIT_MS = 8_000;
+const LINE_LIMIT_MS = 5_000;
 const PAGE = readFileSync(
   new URL("../../docs/OPERATIONS.md", import.meta.url),
   "utf8",
@@ -63,7 +64,14 @@
 }
 
 /** Runs the page's first command for a request; returns the lines it prints. */
-function runPageCommand(attempt: string): Record<string, unknown>[] {
+async function runPageCommand(
+  attempt: string,
+): Promise<Record<string, unknown>[]> {
+  // The line may be on its way through the pipe when the answer is here.
+  await waitUntil(
+    () => Promise.resolve(log.includes(`"request":"${attempt}"`)),
+    LINE_LIMIT_MS,
+  );
   const [command] = PAGE.match(/grep '"request":"[0-9a-f]+"' fleet\.log/) ?? [];
   assert.ok(command, "the page has no command to begin with");
   writeFileSync(join(directory, "fleet.log"), log);
@@ -106,7 +114,7 @@
   const refused = attempts[statuses.indexOf(429)];
   assert.ok(refused, `none got 429: ${statuses}`);
   const line = checkLine(
-    runPageCommand(refused),
+    await runPageCommand(refused),
     section,
     "refused a request",
     ["ratePerSecond", "burst", "version", "level", "share", "vms"],
@@ -126,7 +134,7 @@
   server.mode = ServerMode.Healthy;
   assert.equal(status, 502);
   const line = checkLine(
-    runPageCommand(attempt),
+    await runPageCommand(attempt),
     section,
     "an attempt failed",
     ["server", "failure", "step", "run"],
@@ -147,7 +155,7 @@
   }, STALE_LIMIT_MS);
   fleet.store.mode = StoreMode.Up;
   const line = checkLine(
-    runPageCommand(`c${count}`),
+    await runPageCommand(`c${count}`),
     section,
     "refused a request",
     ["confirmedAgoMs"],
