--- a/src/services/overload/mod.ts
+++ b/src/services/overload/mod.ts
@@ -87,8 +87,8 @@
 const WORK_WEIGHT = 0.05;
 /**
  * Time for which a queue must be too long before any request is refused, and
- * short before none is, in milliseconds. About the work of two requests: a burst that ends sooner is
- * served late, which is worth more than a refusal.
+ * short before none is, in milliseconds. About the work of two requests: a burst
+ * that ends sooner is served late, which is worth more than a refusal.
  */
 const STANDING_MS = 500;
 /**
