Ask a peer again as soon as it can have gained a token

Cause of the listed red test (9 of 1121 requests of one VM's callers refused that one bucket would admit): a peer that had less than a token was left alone for twice as long each time, up to a second. At 8 tokens a second it gained up to eight meanwhile, while requests were refused for want of one. Ruled out: the budget of asks (100 a second), which was not reached. Change: the pause ends once the peer's seats have gained a whole token.

--- a/src/services/shares/mod.ts
+++ b/src/services/shares/mod.ts
@@ -346,6 +346,7 @@
     setPause(share, {
       vm: peer.vm,
       isFull: tokens >= Math.min(1, wanted),
+      gainMs: computeGainMs(team, peer),
       now: clock.now(),
     });
     if (answer === undefined || tokens <= 0) return;
@@ -438,6 +439,13 @@
   }
 }
 
+/** Computes the time in which a peer's seats gain a whole token, in ms. */
+function computeGainMs(team: Team, peer: PeerState): number {
+  const home = listHomeSeats(team);
+  const held = peer.seats.filter(({ index }) => home.includes(index)).length;
+  return MS_PER_SECOND * home.length / (team.ratePerSecond * held);
+}
+
 interface SeatTokens {
   readonly seat: SeatShare;
   readonly tokens: number;
--- a/src/services/shares/team_share.ts
+++ b/src/services/shares/team_share.ts
@@ -39,17 +39,20 @@
   readonly vm: VmName;
   /** Whether it lent what was wanted, or a whole token at least. */
   readonly isFull: boolean;
+  /** Time in which it gains as much as is worth asking for, in milliseconds. */
+  readonly gainMs: number;
   readonly now: number;
 }
 
 /** Leaves a peer without tokens alone for a while, longer each time. */
 export function setPause(share: TeamShare, answer: PeerAnswer): void {
-  const { vm, isFull, now } = answer;
+  const { vm, isFull, gainMs, now } = answer;
   if (isFull) {
     share.pauseMs.delete(vm);
     return;
   }
-  const pauseMs = share.pauseMs.get(vm) ?? PAUSE_MIN_MS;
-  share.pauseMs.set(vm, Math.min(PAUSE_MAX_MS, pauseMs * 2));
+  const longestMs = Math.max(PAUSE_MIN_MS, Math.min(PAUSE_MAX_MS, gainMs));
+  const pauseMs = Math.min(longestMs, share.pauseMs.get(vm) ?? PAUSE_MIN_MS);
+  share.pauseMs.set(vm, pauseMs * 2);
   share.askAgainAt.set(vm, now + pauseMs);
 }
--- a/tests/shares_test.ts
+++ b/tests/shares_test.ts
@@ -5,12 +5,12 @@
 import { createSeededRandom } from "../src/services/random/mod.ts";
 import { GrantKind } from "../src/services/shares/mod.ts";
 import { LogMode } from "../standins/log_standin.ts";
-import { getKnownRed } from "./known_red.ts";
 import { VirtualFleet } from "./virtual_fleet.ts";
 
 const RATE_PER_SECOND = 40;
 const BURST = 80;
 const MS_PER_SECOND = 1_000;
+const REQUESTS_SEED = 11;
 
 async function startFleet(seed = 1): Promise<VirtualFleet> {
   const fleet = new VirtualFleet({ size: 5, seed });
@@ -33,9 +33,10 @@
   fleet: VirtualFleet,
   perSecond: number,
   pickVm: () => string | undefined,
+  seed = REQUESTS_SEED,
 ): { readonly granted: number[]; readonly refused: number[] } {
   const results = { granted: [] as number[], refused: [] as number[] };
-  const random = createSeededRandom(11);
+  const random = createSeededRandom(seed);
   const sendNext = (): void => {
     const vm = pickVm();
     if (vm !== undefined && fleet.vms.has(vm)) void takeOne(fleet, vm, results);
@@ -101,17 +102,18 @@
   assert.ok(results.granted.length >= 0.9 * fair);
 });
 
-const ONE_VM = "callers of one VM alone get nearly the whole rate";
-
-test(ONE_VM, getKnownRed(ONE_VM), async () => {
-  const fleet = await startFleet();
-  const results = startRequests(fleet, 0.9 * RATE_PER_SECOND, () => "vm-03");
-  await fleet.time.advance(30_000);
-  checkWindows(results.granted);
-  const all = [...results.granted, ...results.refused];
-  const wrongful = results.refused.length - countIdealRefusals(all);
-  assert.ok(wrongful / all.length < 0.005, `${wrongful} of ${all.length}`);
-});
+for (const seed of [REQUESTS_SEED, 12, 13]) {
+  test(`callers of one VM alone get nearly the whole rate (seed ${seed})`, async () => {
+    const fleet = await startFleet();
+    const load = 0.9 * RATE_PER_SECOND;
+    const results = startRequests(fleet, load, () => "vm-03", seed);
+    await fleet.time.advance(30_000);
+    checkWindows(results.granted);
+    const all = [...results.granted, ...results.refused];
+    const wrongful = results.refused.length - countIdealRefusals(all);
+    assert.ok(wrongful / all.length < 0.005, `${wrongful} of ${all.length}`);
+  });
+}
 
 for (const seed of [1, 2, 3]) {
   test(`no fault lets a team over its limits (seed ${seed})`, async () => {
