--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 /** Runs a measurement by name: `npm run bench -- path`. */
 import process from "node:process";
 import { runGrayBench } from "./gray.ts";
+import { runIdleBench } from "./idle.ts";
 import { runOverloadBench, runRetryBench } from "./overload.ts";
 import { runPathBench } from "./path.ts";
 import { runSharesBench } from "./shares.ts";
@@ -8,6 +9,7 @@
 
 const BENCHES: Readonly<Record<string, () => Promise<void>>> = {
   gray: runGrayBench,
+  idle: runIdleBench,
   overload: runOverloadBench,
   path: runPathBench,
   retry: runRetryBench,
