Keep log fields from replacing what every line bears

Change: `tokens` and `peer`; the type of the fields has the four names of every line as never, which found six places. The page follows.

--- a/src/daemon/run.ts
+++ b/src/daemon/run.ts
@@ -64,7 +64,6 @@
   const stopRequested = waitForSignal();
   setReloadHandler(() => {
     logger.info("keeps its settings, which are fixed from the start", {
-      vm: settings.vm,
       incarnation: settings.incarnation,
     });
   });
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -325,7 +325,7 @@
   #sendBeat(link: Link, isDomainDue: boolean, now: number): void {
     if (now - link.heardAt > getSilenceLimitMs(link)) {
       this.#parts.logger.warn("a link went silent", {
-        vm: link.vm.name,
+        peer: link.vm.name,
         silentMs: Math.round(now - link.heardAt),
       });
       return link.close();
@@ -381,7 +381,7 @@
     const link = new Link(kind, hello, connection, clock.now());
     if (this.#list.add(hello.vm)) this.#sendVmsKnown();
     this.#links.add(link);
-    logger.info("a link was opened", { vm: link.vm.name, link: kind });
+    logger.info("a link was opened", { peer: link.vm.name, link: kind });
     link.send({ kind: FleetMessageKind.VmsKnown, vms: this.#list.list() });
     if (kind === LinkKind.Follower) {
       for (const listener of this.#followerListeners) listener(link);
@@ -404,7 +404,7 @@
     this.#exchange.recordLinkEnd(link);
     this.#loads.removeLink(link);
     this.#parts.logger.info("a link ended", {
-      vm: link.vm.name,
+      peer: link.vm.name,
       link: link.kind,
     });
   }
@@ -421,7 +421,7 @@
     const { hello, connection, messages } = opened;
     const link = new Link(kind, hello, connection, clock.now());
     this.#links.add(link);
-    logger.info("opened a link", { vm: link.vm.name, link: kind });
+    logger.info("opened a link", { peer: link.vm.name, link: kind });
     return { link, ended: this.#readLink(link, messages) };
   }
 
--- a/src/services/logging/mod.ts
+++ b/src/services/logging/mod.ts
@@ -6,8 +6,20 @@
 import { BoundedOutput } from "./bounded_output.ts";
 import { LineLimit } from "./line_limit.ts";
 
-/** What a line tells besides its sentence: ids, inputs, ages, outcomes. */
-export type LogFields = Readonly<Record<string, string | number | boolean>>;
+/**
+ * What a line tells besides its sentence: ids, inputs, ages, outcomes.
+ *
+ * The names of what every line bears are not to be had: one of the two values
+ * would be lost.
+ */
+export type LogFields =
+  & Readonly<Record<string, string | number | boolean>>
+  & {
+    readonly level?: never;
+    readonly message?: never;
+    readonly timestamp?: never;
+    readonly vm?: never;
+  };
 
 /** Writes log lines of one part. */
 export interface Logger {
--- a/src/services/quota/mod.ts
+++ b/src/services/quota/mod.ts
@@ -81,7 +81,7 @@
           inputs: {
             ratePerSecond: limits.ratePerSecond,
             burst: limits.burst,
-            level: Math.round(decision.level),
+            tokens: Math.round(decision.level),
             share: Number(decision.share.toFixed(3)),
             vms: view.vms,
             heardAgoMs: Math.round(view.heardMs),
--- a/tests/operations_test.ts
+++ b/tests/operations_test.ts
@@ -117,8 +117,11 @@
     await runPageCommand(refused),
     section,
     "refused a request",
-    ["ratePerSecond", "burst", "version", "level", "share", "vms"],
+    ["ratePerSecond", "burst", "version", "tokens", "share", "vms"],
   );
+  assert.equal(typeof line["tokens"], "number");
+  assert.equal(line["level"], "info");
+  assert.equal(line["vm"], getVm().name);
   assert.equal(line["refusal"], "over_rate");
   assert.ok(section.includes("over_rate"));
 });
