Know what other VMs spent of a team that was not asked for here

Change: others' counts make a bucket by the limits in force; a VM begins with its part of the burst. The tests of hot, sudden, skewed and even callers pass as before.

--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -19,7 +19,7 @@
 import { FleetRetryBudget } from "../../services/forwarding/fleet_retry_budget.ts";
 import { Confirmations } from "../../services/freshness/confirmations.ts";
 import { FleetStop } from "../../services/planned_stop/fleet_stop.ts";
-import { Quota } from "../../services/quota/mod.ts";
+import { Quota, resolveLimits } from "../../services/quota/mod.ts";
 import { Readiness } from "../../services/readiness/mod.ts";
 import type { DaemonSettings } from "../../settings/mod.ts";
 
@@ -200,12 +200,18 @@
 function addLimits(kernel: Kernel<Services>): void {
   kernel.add(createServiceDefinition({
     name: ServiceName.Quota,
-    needs: [ServiceName.Clock, ServiceName.Fleet],
+    needs: [ServiceName.Clock, ServiceName.Configuration, ServiceName.Fleet],
     create: (find) => {
       const fleet = find(ServiceName.Fleet);
+      const configuration = find(ServiceName.Configuration);
       const quota = new Quota({
         clock: find(ServiceName.Clock),
         countVms: () => fleet.countVms(),
+        findLimits: (id) => {
+          const { state } = configuration;
+          const team = state.teams.get(id);
+          return team && resolveLimits(team, state.getPreset());
+        },
       });
       fleet.setUsageSource(UsageKind.Team, quota);
       return quota;
--- a/src/services/quota/mod.ts
+++ b/src/services/quota/mod.ts
@@ -16,6 +16,8 @@
   readonly clock: Clock;
   /** Counts the VMs that live, this one included. */
   readonly countVms: () => number;
+  /** Finds a team's limits in force; undefined for a team that is unknown. */
+  readonly findLimits: (team: TeamId) => BucketLimits | undefined;
 }
 
 /** What is known of one team. */
@@ -55,8 +57,13 @@
     const now = this.#parts.clock.now();
     this.#heardAt = now;
     for (const grown of this.#growth.listGrowth(others, isFirst)) {
-      const entry = this.#teams.get(grown.name);
-      entry?.bucket.recordOthers(grown.admitted, grown.asked, now);
+      const { name, admitted, asked } = grown;
+      // A team that was not asked for here is counted too: its first request
+      // here must not find tokens that are spent.
+      const limits = this.#parts.findLimits(name);
+      if (limits === undefined || limits.ratePerSecond === Infinity) continue;
+      const { bucket } = this.#getEntry(name, limits, now);
+      bucket.recordOthers(admitted, asked, now);
     }
   }
 
@@ -103,7 +110,12 @@
     const existing = this.#teams.get(team);
     if (existing !== undefined) return existing;
     const created = {
-      bucket: new TeamBucket(limits, now - this.#startedAt, now),
+      bucket: new TeamBucket(
+        limits,
+        this.#parts.countVms(),
+        now - this.#startedAt,
+        now,
+      ),
       admitted: 0,
       asked: 0,
     };
@@ -116,7 +128,8 @@
   }
 }
 
-function resolveLimits(team: Team, preset: Preset): BucketLimits {
+/** Resolves a team's limits under a preset. */
+export function resolveLimits(team: Team, preset: Preset): BucketLimits {
   return {
     ratePerSecond: team.ratePerSecond * preset.rateFactor,
     burst: Math.max(1, team.burst * preset.rateFactor),
--- a/src/services/quota/quota_test.ts
+++ b/src/services/quota/quota_test.ts
@@ -59,10 +59,13 @@
     startTimer: () => () => {},
     sleep: () => Promise.resolve(),
   };
-  const quotas = Array.from(
-    { length: load.vms },
-    () => new Quota({ clock, countVms: () => load.vms }),
-  );
+  const createQuota = (): Quota =>
+    new Quota({
+      clock,
+      countVms: () => load.vms,
+      findLimits: () => load.team,
+    });
+  const quotas = Array.from({ length: load.vms }, createQuota);
   let exchange = new UsageExchange(quotas);
   const admittedAt: number[] = [];
   let asked = 0;
@@ -70,7 +73,7 @@
   for (; now < load.seconds * 1_000; now += STEP_MS) {
     if (now === load.restartAt) {
       quotas.forEach((_quota, vm) => {
-        quotas[vm] = new Quota({ clock, countVms: () => load.vms });
+        quotas[vm] = createQuota();
       });
       exchange = new UsageExchange(quotas);
     }
@@ -186,6 +189,27 @@
   });
 }
 
+for (const vms of [18, 112]) {
+  for (const seed of [1, 2, 3]) {
+    test(`small team: ${vms} VMs are asked one after the other (seed ${seed})`, async () => {
+      const team = createTeam(10, 10);
+      const result = await runLoad({
+        vms,
+        team,
+        seconds: 30,
+        seed,
+        // A VM that is asked late must know what the others have spent.
+        getRate: (ms) => ms < 5_000 ? 0 : 80,
+        pickVm: (random) => Math.floor(random * vms),
+      });
+      assert.ok(
+        result.worstWindow <= getWindowLimit(team),
+        `${result.worstWindow} of ${getWindowLimit(team)}`,
+      );
+    });
+  }
+}
+
 test("a VM that hears nobody keeps to its part of the rate", async () => {
   let now = 10_000;
   const clock = {
@@ -194,8 +218,12 @@
     startTimer: () => () => {},
     sleep: () => Promise.resolve(),
   };
-  const quota = new Quota({ clock, countVms: () => 10 });
   const team = createTeam(100, 100);
+  const quota = new Quota({
+    clock,
+    countVms: () => 10,
+    findLimits: () => team,
+  });
   let admitted = 0;
   for (; now < 20_000; now += STEP_MS) {
     const decision = await quota.take(team, preset);
--- a/src/services/quota/team_bucket.ts
+++ b/src/services/quota/team_bucket.ts
@@ -69,19 +69,26 @@
   /** Requests admitted here since then. */
   #unheardOwn = 0;
   /** Part of the rate that this VM has saved up. */
-  #shareTokens = 1;
+  #shareTokens: number;
   #updatedAt: number;
 
   /**
    * Creates a bucket that has filled for `filledMs`.
    *
    * A VM that has just started does not know what was spent before, which may be
-   * all of it when every VM was restarted.
+   * all of it when every VM was restarted. It has saved up its part of the burst
+   * among `vms`, lest many VMs spend a token each that only one of them has.
    */
-  constructor(limits: BucketLimits, filledMs: number, now: number) {
+  constructor(
+    limits: BucketLimits,
+    vms: number,
+    filledMs: number,
+    now: number,
+  ) {
     const filled = limits.ratePerSecond * filledMs / MS_PER_SECOND;
     this.#level = Math.min(limits.burst, filled);
     this.#heardLevel = this.#level;
+    this.#shareTokens = Math.min(1, limits.burst / Math.max(1, vms));
     this.#updatedAt = now;
   }
 
--- a/standins/overload_run.ts
+++ b/standins/overload_run.ts
@@ -126,7 +126,7 @@
     const { limits } = options;
     this.#buckets = limits === undefined ? [] : Array.from(
       { length: OVERLOAD_TEAMS },
-      () => new TeamBucket(limits, MS_PER_SECOND, 0),
+      () => new TeamBucket(limits, 1, MS_PER_SECOND, 0),
     );
     this.#result = createResult(options);
   }
