Log who told of a server's change, and what is known when a request is sent

No line said when a request went to a server, and the lines on entries did not say who had told of them.

- each attempt writes "sends a request to a server" with the time since the server was chosen and what it was then and is now;
- a server's entry that changed or is gone names the earlier phase and the origin: own read, hub, all of the hub's servers, or time after an outage.

--- a/src/services/feed/mod.ts
+++ b/src/services/feed/mod.ts
@@ -10,6 +10,7 @@
 import {
   DocumentUpdateKind,
   FeedReadKind,
+  ServerOrigin,
   ServerUpdateKind,
 } from "./source.ts";
 import type {
@@ -174,7 +175,7 @@
     const entries = read.updates.flatMap((update) =>
       update.kind === ServerUpdateKind.Listed ? [update.entry] : []
     );
-    registry.replaceAll(entries, read.next - 1, now);
+    registry.replaceAll(entries, read.next - 1, now, ServerOrigin.Store);
     registry.settleFew();
   }
 
--- a/src/services/feed/relay.ts
+++ b/src/services/feed/relay.ts
@@ -14,6 +14,7 @@
 import type { ConfigurationDocument } from "../../model/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import type { ServerRegistry } from "./server_registry.ts";
+import { ServerOrigin } from "./source.ts";
 
 /**
  * Time without a confirmation from the hub after which a follower reads the
@@ -59,7 +60,10 @@
       const { entries, offset } = message;
       if (message.isForced) {
         registry.replaceByForce(entries, offset, this.#now());
-      } else registry.replaceAll(entries, offset, this.#now());
+      } else {
+        const origin = ServerOrigin.HubList;
+        registry.replaceAll(entries, offset, this.#now(), origin);
+      }
     });
     fleet.setHandler(FleetMessageKind.ServerSet, (message) => {
       registry.setPassed(message.entry, message.offset, this.#now());
--- a/src/services/feed/server_registry.ts
+++ b/src/services/feed/server_registry.ts
@@ -4,7 +4,7 @@
 import type { Configuration } from "../configuration/mod.ts";
 import { computeHash } from "../hashing/mod.ts";
 import type { Logger } from "../logging/mod.ts";
-import { ServerUpdateKind } from "./source.ts";
+import { ServerOrigin, ServerUpdateKind } from "./source.ts";
 import type { ServerEntry, ServerUpdate } from "./source.ts";
 
 /**
@@ -75,7 +75,7 @@
   setPassed(entry: ServerEntry, offset: Offset, now: number): void {
     if (offset < this.#offset) return;
     this.#offset = offset;
-    this.#setEntry(entry, offset, now);
+    this.#setEntry(entry, offset, now, ServerOrigin.Hub);
   }
 
   /** Removes a server as another VM, which read up to `offset`, did. */
@@ -83,7 +83,9 @@
     if (offset < this.#offset) return;
     this.#offset = offset;
     const entry = this.#entries.get(server);
-    if (entry !== undefined) this.#settleGone(server, entry);
+    if (entry !== undefined) {
+      this.#settleGone(server, entry, ServerOrigin.Hub);
+    }
   }
 
   /** Records that the store has answered again after an outage. */
@@ -103,14 +105,15 @@
     entries: readonly ServerEntry[],
     offset: Offset,
     now: number,
+    origin: ServerOrigin,
   ): void {
     if (offset < this.#offset) return;
     this.#offset = offset;
     const listed = new Set(entries.map((entry) => entry.server.id));
     for (const id of [...this.#entries.keys()]) {
-      if (!listed.has(id)) this.#removeEntry(id, now);
+      if (!listed.has(id)) this.#removeEntry(id, now, origin);
     }
-    for (const entry of entries) this.#setEntry(entry, offset, now);
+    for (const entry of entries) this.#setEntry(entry, offset, now, origin);
     this.#listener?.recordReplaced();
   }
 
@@ -125,7 +128,7 @@
     now: number,
   ): void {
     this.#offset = Math.min(this.#offset, offset);
-    this.replaceAll(entries, offset, now);
+    this.replaceAll(entries, offset, now, ServerOrigin.HubList);
   }
 
   /** Computes a digest that is equal where the servers in use are. */
@@ -139,16 +142,21 @@
     this.#offset = update.offset;
     switch (update.kind) {
       case ServerUpdateKind.Listed:
-        return this.#setEntry(update.entry, update.offset, now);
+        return this.#setEntry(
+          update.entry,
+          update.offset,
+          now,
+          ServerOrigin.Store,
+        );
       case ServerUpdateKind.Removed:
-        return this.#removeEntry(update.id, now);
+        return this.#removeEntry(update.id, now, ServerOrigin.Store);
       case ServerUpdateKind.Unreadable:
         this.#parts.logger.warn("an entry names no usable server", {
           server: update.id,
           reason: update.reason,
           offset: update.offset,
         });
-        return this.#removeEntry(update.id, now);
+        return this.#removeEntry(update.id, now, ServerOrigin.Store);
     }
   }
 
@@ -166,7 +174,9 @@
       if (entry === undefined) continue;
       const { service } = entry.server;
       const ratio = (lapsed.get(service) ?? 0) / (known.get(service) ?? 1);
-      if (ratio < LAPSE_RATIO_MIN) this.#settleGone(id, entry);
+      if (ratio < LAPSE_RATIO_MIN) {
+        this.#settleGone(id, entry, ServerOrigin.Store);
+      }
     }
   }
 
@@ -184,11 +194,18 @@
     for (const [id, at] of this.#lapsed) {
       if (now < at) continue;
       const entry = this.#entries.get(id);
-      if (entry !== undefined) this.#settleGone(id, entry);
+      if (entry !== undefined) {
+        this.#settleGone(id, entry, ServerOrigin.Outage);
+      }
     }
   }
 
-  #setEntry(entry: ServerEntry, offset: Offset, now: number): void {
+  #setEntry(
+    entry: ServerEntry,
+    offset: Offset,
+    now: number,
+    origin: ServerOrigin,
+  ): void {
     const { configuration, logger } = this.#parts;
     const { id } = entry.server;
     const earlier = this.#entries.get(id) ?? this.#gone.get(id);
@@ -212,22 +229,24 @@
       server: id,
       service: entry.server.service,
       phase: entry.server.phase,
+      earlier: known?.phase ?? "none",
+      origin,
       address: `${entry.server.host}:${entry.server.port}`,
       offset,
     });
   }
 
-  #removeEntry(id: ServerId, now: number): void {
+  #removeEntry(id: ServerId, now: number, origin: ServerOrigin): void {
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
     const isActive = entry.server.phase === ServerPhase.Active;
     if (!isActive || now >= this.#graceUntil) {
-      return this.#settleGone(id, entry);
+      return this.#settleGone(id, entry, origin);
     }
     if (!this.#lapsed.has(id)) this.#lapsed.set(id, this.#graceUntil);
   }
 
-  #settleGone(id: ServerId, entry: ServerEntry): void {
+  #settleGone(id: ServerId, entry: ServerEntry, origin: ServerOrigin): void {
     const reason = this.#lapsed.has(id) ? "missing after an outage" : "removed";
     this.#entries.delete(id);
     this.#replaceInDigest(entry, undefined);
@@ -239,6 +258,8 @@
     this.#parts.logger.info("a server's entry is gone", {
       server: id,
       reason,
+      earlier: entry.server.phase,
+      origin,
       offset: this.#offset,
     });
   }
--- a/src/services/feed/server_registry_test.ts
+++ b/src/services/feed/server_registry_test.ts
@@ -5,7 +5,7 @@
 import type { Clock } from "../clock/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import { ServerRegistry } from "./server_registry.ts";
-import { ServerUpdateKind } from "./source.ts";
+import { ServerOrigin, ServerUpdateKind } from "./source.ts";
 import type { ServerEntry, ServerUpdate } from "./source.ts";
 
 const logger: Logger = {
@@ -149,7 +149,7 @@
   const { registry, list } = createFixture();
   registry.apply(createListed(7, { sequence: 4 }), 0);
   registry.apply(removed(8), 0);
-  registry.replaceAll([createEntry({ sequence: 4 })], 5, 0);
+  registry.replaceAll([createEntry({ sequence: 4 })], 5, 0, ServerOrigin.Store);
   assert.deepEqual(list(), []);
 });
 
@@ -170,7 +170,12 @@
     registry.apply(createListed(offset, { sequence: 1, id }), 0);
   }
   registry.recordOutageEnd(10_000);
-  registry.replaceAll([createEntry({ sequence: 2, id: "s4" })], 9, 10_000);
+  registry.replaceAll(
+    [createEntry({ sequence: 2, id: "s4" })],
+    9,
+    10_000,
+    ServerOrigin.Store,
+  );
   registry.settleFew();
   assert.equal(list().length, 4);
   registry.removeLapsed(12_300);
--- a/src/services/feed/source.ts
+++ b/src/services/feed/source.ts
@@ -59,6 +59,18 @@
   Unreadable = "unreadable",
 }
 
+/** Who told this VM of a change of the servers. */
+export enum ServerOrigin {
+  /** The store, in a read of this VM's own. */
+  Store = "store",
+  /** The hub, as it learned of a change. */
+  Hub = "hub",
+  /** The hub, with all of its servers. */
+  HubList = "hub_list",
+  /** Time alone: an entry did not come back after an outage. */
+  Outage = "outage",
+}
+
 /** A server's own word on itself. */
 export interface ServerEntry {
   readonly server: Omit<Server, "revision" | "listedAt">;
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -12,6 +12,7 @@
 import { AttemptVerdict } from "../detector/mod.ts";
 import type { Detector } from "../detector/mod.ts";
 import type { Dispatch } from "../dispatch/mod.ts";
+import type { Logger } from "../logging/mod.ts";
 import { Counter } from "../metrics/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { Overload } from "../overload/mod.ts";
@@ -53,6 +54,7 @@
   readonly upstream: UpstreamClient;
   readonly metrics: Metrics;
   readonly overload: Overload;
+  readonly logger: Logger;
   /** Prefix of attempt ids, unique to this start of the daemon. */
   readonly attemptPrefix: string;
 }
@@ -75,7 +77,9 @@
   ): Promise<AttemptResult> {
     const { dispatch, selection, detector, overload, clock, metrics } =
       this.#parts;
+    const chosenAt = clock.now();
     return await dispatch.runOnServer(server.id, async () => {
+      this.#recordSend(job, server, clock.now() - chosenAt);
       const watched = detector.recordStart(server);
       metrics.add(Counter.Attempts);
       const hadRoom = selection.recordStart(server);
@@ -107,6 +111,20 @@
     });
   }
 
+  /** Writes what was known of a server when a request was sent to it. */
+  #recordSend(job: Job, server: Server, waitedMs: number): void {
+    const { logger, selection } = this.#parts;
+    const known = selection.findServer(server.id);
+    logger.info("sends a request to a server", {
+      request: job.plan.attempt ?? "",
+      server: server.id,
+      waitedMs: Math.round(waitedMs),
+      chosenAs: server.phase,
+      knownAs: known?.phase ?? "gone",
+      offset: known?.revision ?? server.revision,
+    });
+  }
+
   #createAttempt(job: Job, server: Server, signal: AbortSignal): Attempt {
     const { plan, body } = job;
     this.#attemptCount += 1;
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -7,7 +7,6 @@
 import type { CallerExchange } from "../caller_front/exchange.ts";
 import { EXPIRED, runWithin } from "../clock/mod.ts";
 import { DispatchKind } from "../dispatch/mod.ts";
-import type { Logger } from "../logging/mod.ts";
 import { Counter } from "../metrics/mod.ts";
 import type { Random } from "../random/mod.ts";
 import { OverloadKind } from "../overload/mod.ts";
@@ -41,7 +40,6 @@
 export interface ForwardingParts extends AttemptParts {
   readonly admission: Admission;
   readonly random: Random;
-  readonly logger: Logger;
   readonly retryBudget: RetryBudget;
 }
 
--- a/src/services/selection/mod.ts
+++ b/src/services/selection/mod.ts
@@ -178,6 +178,11 @@
     if (hadRoom) recordUsual(this.#workMs, server.service, latencyMs);
   }
 
+  /** Finds what is known of a server now; undefined when it is gone. */
+  findServer(id: ServerId): Server | undefined {
+    return this.#parts.configuration.state.servers.get(id);
+  }
+
   /** Lists all servers as this VM sees them. */
   getReport(): ServerReport[] {
     const { servers } = this.#parts.configuration.state;
--- a/tests/feed_world.ts
+++ b/tests/feed_world.ts
@@ -85,7 +85,7 @@
   }
 
   /** Drops the history; the newest update of each key stays. */
-  forget(): void {
+  removeHistory(): void {
     this.#first = this.updates.length;
   }
 
--- a/tests/operations_test.ts
+++ b/tests/operations_test.ts
@@ -63,13 +63,22 @@
   return PAGE.slice(start, end === -1 ? undefined : end);
 }
 
-/** Runs the page's first command for a request; returns the lines it prints. */
+/**
+ * Runs the page's first command for a request; returns the lines it prints.
+ * Waits for the line with `sentence`, which comes after others.
+ */
 async function runPageCommand(
   attempt: string,
+  sentence: string,
 ): Promise<Record<string, unknown>[]> {
   // The line may be on its way through the pipe when the answer is here.
   await waitUntil(
-    () => Promise.resolve(log.includes(`"request":"${attempt}"`)),
+    () =>
+      Promise.resolve(
+        log.split("\n").some((line) =>
+          line.includes(`"request":"${attempt}"`) && line.includes(sentence)
+        ),
+      ),
     LINE_LIMIT_MS,
   );
   const [command] = PAGE.match(/grep '"request":"[0-9a-f]+"' fleet\.log/) ?? [];
@@ -114,7 +123,7 @@
   const refused = attempts[statuses.indexOf(429)];
   assert.ok(refused, `none got 429: ${statuses}`);
   const line = checkLine(
-    await runPageCommand(refused),
+    await runPageCommand(refused, "refused a request"),
     section,
     "refused a request",
     ["ratePerSecond", "burst", "version", "tokens", "share", "vms"],
@@ -137,7 +146,7 @@
   server.mode = ServerMode.Healthy;
   assert.equal(status, 502);
   const line = checkLine(
-    await runPageCommand(attempt),
+    await runPageCommand(attempt, "an attempt failed"),
     section,
     "an attempt failed",
     ["server", "failure", "step", "run"],
@@ -158,7 +167,7 @@
   }, STALE_LIMIT_MS);
   fleet.store.mode = StoreMode.Up;
   const line = checkLine(
-    await runPageCommand(`c${count}`),
+    await runPageCommand(`c${count}`, "refused a request"),
     section,
     "refused a request",
     ["confirmedAgoMs"],
