Look at a server again when its request is about to be sent

A caller's request could reach a server that had said seconds before that it drains, although its VM knew that.

Cause: a server is selected first; then the request waits until fewer than four requests of this VM run at that server. With requests that hang this takes up to their deadlines (10 s on some routes). Nothing looked at the server again.

Class: a decision that is old when it is acted on.

Change: the attempt looks once more when it is its turn. If the server is gone, drains or has another address, the attempt ends as not run, without a retry from the budget, and the next server is selected. Counter late_choices and a log line tell of it.

--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -79,6 +79,8 @@
       this.#parts;
     const chosenAt = clock.now();
     return await dispatch.runOnServer(server.id, async () => {
+      // The server may have left while the request waited for room at it.
+      if (!selection.isInUse(server)) return this.#refuseSend(job, server);
       this.#recordSend(job, server, clock.now() - chosenAt);
       const watched = detector.recordStart(server);
       metrics.add(Counter.Attempts);
@@ -111,20 +113,30 @@
     });
   }
 
-  /** Writes what was known of a server when a request was sent to it. */
   #recordSend(job: Job, server: Server, waitedMs: number): void {
-    const { logger, selection } = this.#parts;
-    const known = selection.findServer(server.id);
-    logger.info("sends a request to a server", {
+    this.#parts.logger.info("sends a request to a server", {
       request: job.plan.attempt ?? "",
       server: server.id,
+      offset: server.revision,
       waitedMs: Math.round(waitedMs),
-      chosenAs: server.phase,
-      knownAs: known?.phase ?? "gone",
-      offset: known?.revision ?? server.revision,
     });
   }
 
+  #refuseSend(job: Job, server: Server): AttemptResult {
+    const { logger, metrics } = this.#parts;
+    metrics.add(Counter.LateChoices);
+    logger.info("sends no request to a server that leaves", {
+      request: job.plan.attempt ?? "",
+      server: server.id,
+      offset: server.revision,
+    });
+    const { id: peer } = server;
+    return {
+      kind: OutcomeKind.NotRun,
+      failure: { kind: FailureKind.NoServer, step: Step.Queue, peer },
+    };
+  }
+
   #createAttempt(job: Job, server: Server, signal: AbortSignal): Attempt {
     const { plan, body } = job;
     this.#attemptCount += 1;
--- a/src/services/forwarding/attempt_runner_test.ts
+++ b/src/services/forwarding/attempt_runner_test.ts
@@ -1,12 +1,18 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { getKnownRed } from "../../../tests/known_red.ts";
-import { OutcomeKind, ServerPhase, Step } from "../../model/mod.ts";
+import {
+  FailureKind,
+  OutcomeKind,
+  ServerPhase,
+  Step,
+} from "../../model/mod.ts";
 import type { AttemptOutcome, Server } from "../../model/mod.ts";
-import { FailureKind } from "../../model/mod.ts";
 import { createSystemClock } from "../clock/mod.ts";
+import { Configuration } from "../configuration/mod.ts";
+import type { Detector } from "../detector/mod.ts";
 import { Dispatch } from "../dispatch/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
+import { Selection } from "../selection/mod.ts";
 import { AttemptRunner } from "./attempt_runner.ts";
 import type { AttemptParts, Job } from "./attempt_runner.ts";
 import type { UpstreamAnswer } from "./upstream.ts";
@@ -43,28 +49,34 @@
   readonly runner: AttemptRunner;
   /** Ends the attempts that were sent, one each call. */
   readonly sent: (() => void)[];
-  /** What is known of the server; a test changes it. */
-  known: Server | undefined;
+  readonly configuration: Configuration;
 }
 
 function createFixture(): Fixture {
   const sent: (() => void)[] = [];
+  const clock = createSystemClock();
+  const configuration = new Configuration("cell", clock);
+  configuration.setServer(SERVER);
+  const detector = {
+    recordStart: () => ({ startedAt: 0 }),
+    recordEnd: () => {},
+    recordDraining: () => {},
+    isDraining: ({ phase }: Server) => phase === ServerPhase.Draining,
+  } as unknown as Detector;
   const parts = {
-    clock: createSystemClock(),
+    clock,
+    detector,
+    selection: new Selection({
+      configuration,
+      detector,
+      clock,
+      random: () => 0,
+      loads: { setSource: () => {}, countOthers: () => 0 },
+      failureDomain: "a",
+    }),
     dispatch: new Dispatch(),
     metrics: new Metrics(),
     logger: { info: () => {} },
-    detector: {
-      recordStart: () => ({ startedAt: 0 }),
-      recordEnd: () => {},
-      recordDraining: () => {},
-      isDraining: ({ phase }: Server) => phase === ServerPhase.Draining,
-    },
-    selection: {
-      recordStart: () => true,
-      recordEnd: () => {},
-      findServer: () => fixture.known,
-    },
     overload: { recordWork: () => {} },
     upstream: {
       send: () =>
@@ -83,33 +95,31 @@
     },
     attemptPrefix: "test",
   } as unknown as AttemptParts;
-  const fixture: Fixture = {
-    runner: new AttemptRunner(parts),
-    sent,
-    known: SERVER,
-  };
-  return fixture;
+  return { runner: new AttemptRunner(parts), sent, configuration };
 }
 
 /** Ways in which a server leaves. */
-const LEAVES: Record<string, Server | undefined> = {
-  drains: { ...SERVER, phase: ServerPhase.Draining, revision: 2 },
-  "is gone": undefined,
+const LEAVES: Record<string, (configuration: Configuration) => void> = {
+  drains: (configuration) =>
+    configuration.setServer({
+      ...SERVER,
+      phase: ServerPhase.Draining,
+      revision: 2,
+    }),
+  "is gone": (configuration) => configuration.removeServer(SERVER.id),
 };
 
-for (const [how, known] of Object.entries(LEAVES)) {
-  const name = `a request that waits for a server is not sent once it ${how}`;
+for (const [how, leave] of Object.entries(LEAVES)) {
   // Guards against a choice that is old when its request is sent.
-  test(name, getKnownRed(name), async () => {
-    const fixture = createFixture();
-    const { runner, sent } = fixture;
+  test(`a request that waits for a server is not sent once it ${how}`, async () => {
+    const { runner, sent, configuration } = createFixture();
     const results = Array.from(
       { length: SERVER_CONCURRENCY + 1 },
       () => runner.run(JOB, SERVER, JOB.signal),
     );
     await new Promise((resolve) => setImmediate(resolve));
     assert.equal(sent.length, SERVER_CONCURRENCY);
-    fixture.known = known;
+    leave(configuration);
     for (const end of [...sent]) end();
     await new Promise((resolve) => setImmediate(resolve));
     assert.equal(sent.length, SERVER_CONCURRENCY, "sent to a leaving server");
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -29,7 +29,7 @@
 const HEDGE_RATIO = 2.5;
 /** Shortest such time; below it a second request saves nothing. */
 const HEDGE_MIN_MS = 100;
-/** Servers that may refuse a connection before a request is given up. */
+/** Servers that may be out of reach before a request is given up. */
 const UNREACHED_SERVERS_LIMIT = 3;
 /** Shortest time after which a refused caller is asked to return, in ms. */
 const RETRY_AFTER_MIN_MS = 100;
@@ -53,7 +53,7 @@
 interface Progress {
   /** Servers that it was sent to. */
   sent: number;
-  /** Servers that could not be connected to. */
+  /** Servers that could not be connected to, or have left. */
   unreached: number;
   /** What the caller is told if no server answers. */
   refusal: Refusal;
@@ -314,7 +314,7 @@
       progress.failedAnswer = result.accepted;
       return;
     }
-    if (result.failure.step === Step.Connect) {
+    if (isUnsent(result.failure.step)) {
       progress.sent -= 1;
       progress.unreached += 1;
     }
@@ -405,6 +405,24 @@
   };
 }
 
+/** Whether an attempt that failed at a step never reached its server. */
+function isUnsent(step: Step): boolean {
+  switch (step) {
+    case Step.Queue:
+    case Step.Connect:
+      return true;
+    case Step.Parse:
+    case Step.Route:
+    case Step.Key:
+    case Step.Freshness:
+    case Step.Limit:
+    case Step.Write:
+    case Step.FirstByte:
+    case Step.Body:
+      return false;
+  }
+}
+
 /** Refuses by the newest failure, but says `not run` only if none may have run. */
 function createFailureRefusal(
   result: Exclude<AttemptResult, { kind: OutcomeKind.Answered }>,
--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -15,6 +15,7 @@
   Attempts = "attempts",
   Retries = "retries",
   Hedges = "hedges",
+  LateChoices = "late_choices",
   StoreReads = "store_reads",
   Refusals = "refusals",
 }
@@ -26,6 +27,8 @@
   [Counter.Attempts]: "Requests sent to servers, retries included.",
   [Counter.Retries]: "Retries taken from the budget.",
   [Counter.Hedges]: "Requests sent to a second server beside the first.",
+  [Counter.LateChoices]:
+    "Requests not sent since their server left after it was selected.",
   [Counter.StoreReads]: "Reads of the store, by stream.",
   [Counter.Refusals]: "Requests that got no answer of a server, by kind.",
 };
--- a/src/services/selection/mod.ts
+++ b/src/services/selection/mod.ts
@@ -178,9 +178,13 @@
     if (hadRoom) recordUsual(this.#workMs, server.service, latencyMs);
   }
 
-  /** Finds what is known of a server now; undefined when it is gone. */
-  findServer(id: ServerId): Server | undefined {
-    return this.#parts.configuration.state.servers.get(id);
+  /** Whether a server that was selected may still be sent a request. */
+  isInUse(server: Server): boolean {
+    const { configuration, detector } = this.#parts;
+    const known = configuration.state.servers.get(server.id);
+    return known !== undefined && known.host === server.host &&
+      known.port === server.port && known.service === server.service &&
+      !detector.isDraining(known);
   }
 
   /** Lists all servers as this VM sees them. */
