Read the beginning of a body before a server is selected

A caller whose body came in chunks, or was long, could reach a server that had left meanwhile.

Cause: a body without a length, or of more than 64 KiB, was passed on as it came, to a server that was selected when only the head was there. A caller that takes seconds for its body held a choice that old, and a slot of the server.

Change: up to 64 KiB are read first. A short body without a length is then whole: it is sent with its length and can be sent again.

--- a/src/services/forwarding/request_body.ts
+++ b/src/services/forwarding/request_body.ts
@@ -13,34 +13,49 @@
 }
 
 /**
- * Reads a short body whole before any server is involved; a longer one is
+ * Reads a body before any server is selected, so that no selected server waits
+ * for its caller. Of a long one only the beginning is held; the rest is
  * streamed. Throws when the caller breaks off.
  */
 export async function readRequestBody(
   incoming: IncomingBody,
 ): Promise<RequestBody> {
-  const { length } = incoming;
-  if (length === 0) {
-    return { length, isRepeatable: true, read: () => undefined };
+  if (incoming.length === 0) {
+    return { length: 0, isRepeatable: true, read: () => undefined };
   }
-  if (length === undefined || length > REPEATABLE_BODY_LIMIT_BYTES) {
-    return createStreamedBody(incoming);
+  const reader = incoming.read()[Symbol.asyncIterator]();
+  const held: Uint8Array[] = [];
+  let length = 0;
+  while (length <= REPEATABLE_BODY_LIMIT_BYTES) {
+    const next = await reader.next();
+    if (next.done) {
+      return { length, isRepeatable: true, read: () => listChunks(held) };
+    }
+    held.push(next.value);
+    length += next.value.length;
   }
-  const chunks: Uint8Array[] = [];
-  for await (const chunk of incoming.read()) chunks.push(chunk);
-  return { length, isRepeatable: true, read: () => listChunks(chunks) };
+  return createStreamedBody(incoming.length, held, reader);
 }
 
-function createStreamedBody(incoming: IncomingBody): RequestBody {
+function createStreamedBody(
+  length: number | undefined,
+  held: readonly Uint8Array[],
+  reader: AsyncIterator<Uint8Array>,
+): RequestBody {
   let isRead = false;
   return {
-    length: incoming.length,
+    length,
     get isRepeatable() {
       return !isRead;
     },
     read: async function* () {
       isRead = true;
-      yield* incoming.read();
+      yield* held;
+      while (true) {
+        const next = await reader.next();
+        if (next.done) return;
+        yield next.value;
+      }
     },
   };
 }
