Give up an answer whose body does not end

A caller's request could last until its deadline, and a connection for ever, beside a server that sends a body without end.

- After a refusal that says "not run" its body was passed over up to 256 KiB and then left: nobody read on or closed, so the server went on sending.
It is now passed over beside the request, for 100 ms and 256 KiB at most, and the next server is asked at once.
- A server's error (5xx) of more than 256 KiB was final even for a request that can be repeated, and its bytes were passed on until the deadline.
It is now given up and another server is asked.

Class: bytes of a faulty server are bounded by the deadline alone.

--- a/src/services/forwarding/answer_body.ts
+++ b/src/services/forwarding/answer_body.ts
@@ -1,7 +1,16 @@
 /** Holds short answers until they are whole and passes long ones on. */
 import { HELD_ANSWER_LIMIT_BYTES } from "../../constants.ts";
+import { EXPIRED, runWithin } from "../clock/mod.ts";
+import type { Clock } from "../clock/mod.ts";
+import { BodyError } from "./upstream.ts";
 import type { UpstreamAnswer } from "./upstream.ts";
 
+/**
+ * Time for the body of an answer that is not passed on, in milliseconds. A new
+ * connection costs a server about 1 ms, so little is worth waiting for.
+ */
+const RELEASE_LIMIT_MS = 100;
+
 /** How the body of an answer is passed on. */
 export enum AnswerBodyKind {
   None = "none",
@@ -45,6 +54,30 @@
   };
 }
 
+/**
+ * Passes over the body of an answer, so that its connection can be used again.
+ *
+ * A body that is not whole soon, or that is too long, costs the connection.
+ */
+export async function releaseAnswer(
+  answer: UpstreamAnswer,
+  clock: Clock,
+): Promise<void> {
+  try {
+    const body = await runWithin(
+      clock,
+      RELEASE_LIMIT_MS,
+      () => readAnswerBody(answer),
+    );
+    if (body === EXPIRED || body.kind === AnswerBodyKind.Streamed) {
+      answer.cancel();
+    }
+  } catch (error) {
+    answer.cancel();
+    if (!(error instanceof BodyError)) throw error;
+  }
+}
+
 async function* mergeChunks(
   held: readonly Uint8Array[],
   reader: AsyncIterator<Uint8Array>,
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -17,7 +17,11 @@
 import type { Metrics } from "../metrics/mod.ts";
 import type { Overload } from "../overload/mod.ts";
 import type { Selection } from "../selection/mod.ts";
-import { AnswerBodyKind, readAnswerBody } from "./answer_body.ts";
+import {
+  AnswerBodyKind,
+  readAnswerBody,
+  releaseAnswer,
+} from "./answer_body.ts";
 import type { AnswerBody } from "./answer_body.ts";
 import type { RequestBody } from "./request_body.ts";
 import { BodyError } from "./upstream.ts";
@@ -88,7 +92,7 @@
       const attempt = this.#createAttempt(job, server, signal);
       const outcome = await this.#parts.upstream.send(attempt);
       const result = outcome.kind === OutcomeKind.Answered
-        ? await checkAnswer(attempt, outcome.answer)
+        ? await checkAnswer(attempt, outcome.answer, clock)
         : outcome;
       const answer = outcome.kind === OutcomeKind.Answered
         ? outcome.answer
@@ -170,9 +174,8 @@
   result: AttemptResult,
 ): result is Extract<AttemptResult, { kind: OutcomeKind.Answered }> {
   if (result.kind !== OutcomeKind.Answered) return false;
-  const { answer, body } = result.accepted;
-  if (answer.status < SERVER_ERROR_STATUS) return true;
-  return body.kind === AnswerBodyKind.Streamed ||
+  const { status } = result.accepted.answer;
+  return status < SERVER_ERROR_STATUS ||
     !isRepeatable(job, OutcomeKind.MayHaveRun);
 }
 
@@ -220,6 +223,7 @@
 async function checkAnswer(
   attempt: Attempt,
   answer: UpstreamAnswer,
+  clock: Clock,
 ): Promise<AttemptResult> {
   const { server } = attempt;
   const peer = server.id;
@@ -238,22 +242,21 @@
     };
   }
   if (answer.isNotRun) {
-    // The connection stays in use: only the body is passed over.
-    await readAnswerBody(answer).catch(() => answer.cancel());
+    void releaseAnswer(answer, clock);
     return {
       kind: OutcomeKind.NotRun,
       failure: { kind: FailureKind.Shed, step: Step.FirstByte, peer },
     };
   }
   if (answer.isUnproven && isSuccess(answer.status)) {
-    answer.cancel();
-    return {
-      kind: OutcomeKind.MayHaveRun,
-      failure: { kind: FailureKind.InvalidAnswer, step: Step.FirstByte, peer },
-    };
+    return createInvalid(attempt, answer);
   }
   try {
     const body = await readAnswerBody(answer);
+    // Bytes without proof are a server's error only if they come to an end.
+    if (answer.isUnproven && body.kind === AnswerBodyKind.Streamed) {
+      return createInvalid(attempt, answer);
+    }
     return { kind: OutcomeKind.Answered, accepted: { server, answer, body } };
   } catch (error) {
     answer.cancel();
@@ -262,6 +265,22 @@
   }
 }
 
+/** Gives up bytes that are no answer to this attempt. */
+function createInvalid(
+  { server }: Attempt,
+  answer: UpstreamAnswer,
+): AttemptResult {
+  answer.cancel();
+  return {
+    kind: OutcomeKind.MayHaveRun,
+    failure: {
+      kind: FailureKind.InvalidAnswer,
+      step: Step.FirstByte,
+      peer: server.id,
+    },
+  };
+}
+
 /** A request that may have run is sent again only if that does no harm. */
 export function isRepeatable(job: Job, kind: OutcomeKind): boolean {
   if (job.signal.aborted || !job.body.isRepeatable) return false;
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -311,7 +311,7 @@
   ): void {
     const { plan, signal } = job;
     if (result.kind === OutcomeKind.Answered) {
-      progress.failedAnswer = result.accepted;
+      this.#keepFailedAnswer(progress, result.accepted);
       return;
     }
     if (isUnsent(result.failure.step)) {
@@ -335,6 +335,23 @@
     });
   }
 
+  /** Keeps a server's error, unless it is too long to be held meanwhile. */
+  #keepFailedAnswer(progress: Progress, accepted: Accepted): void {
+    const { answer, body, server } = accepted;
+    if (body.kind !== AnswerBodyKind.Streamed) {
+      progress.failedAnswer = accepted;
+      return;
+    }
+    answer.cancel();
+    progress.refusal = {
+      kind: RefusalKind.AnswerLost,
+      step: Step.Body,
+      peer: server.id,
+      run: RunState.Unknown,
+      retryAfterMs: 0,
+    };
+  }
+
   #refuseUnavailable(plan: RequestPlan): Refusal {
     return createRefusal(
       RefusalKind.ServerUnavailable,
