Give up a server that sends informational heads without end

A caller whose request must run once waited until its deadline when a server sent heads of the kind 1xx without end.

Cause: Node's client takes any number of them before an answer.

Change: after 16 the attempt ends as an invalid answer.

--- a/src/protocols/http/upstream_client.ts
+++ b/src/protocols/http/upstream_client.ts
@@ -34,6 +34,12 @@
 const STATUS_NOT_MODIFIED = 304;
 const STATUS_MISDIRECTED = 421;
 
+/**
+ * Informational heads (1xx) before an answer; a server sends one or two, and
+ * without a limit a faulty one could send them until the deadline.
+ */
+const INFORMATIONAL_LIMIT = 16;
+
 /** Connections to one backend server. */
 interface ServerAgents {
   /** Keeps connections for requests that may be sent again. */
@@ -155,6 +161,12 @@
       "error",
       (error) => this.#setFailed(resolveFailure(error)),
     );
+    let informational = 0;
+    this.#request.on("information", () => {
+      informational += 1;
+      if (informational <= INFORMATIONAL_LIMIT) return;
+      this.#cancel(FailureKind.InvalidAnswer);
+    });
     this.#request.once("response", (response) => this.#setAnswered(response));
     void this.#writeBody();
   }
--- a/tests/endless_bytes_test.ts
+++ b/tests/endless_bytes_test.ts
@@ -90,6 +90,7 @@
   "no HTTP at all",
   "one header field",
   "many header fields",
+  "informational heads",
   "an extension of a chunk",
   "trailer fields",
 ];
