Check a request again when its turn at a server has come

A request that had waited in a server's queue was sent although its key had been withdrawn, its deadline had passed or the configuration was too old meanwhile.

Cause and class: as for servers that leave, a decision that is old when it is acted on; found by looking for the same cause elsewhere. The check before each attempt came before the wait for room at the server.

Change: the check is made once more after the wait. The attempt ends as not run, and the check before the next one gives the caller the reason.

Evidence: "... is not sent once its key is withdrawn" (attempt_runner_test.ts) fails without the change to the runner (run) and passes.

--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -6,7 +6,7 @@
   Step,
 } from "../../model/mod.ts";
 import type { Failure, Server } from "../../model/mod.ts";
-import type { RequestPlan } from "../admission/mod.ts";
+import type { Admission, RequestPlan } from "../admission/mod.ts";
 import type { CallerExchange } from "../caller_front/exchange.ts";
 import type { Clock } from "../clock/mod.ts";
 import { AttemptVerdict } from "../detector/mod.ts";
@@ -51,6 +51,7 @@
 
 /** What attempts are made with. */
 export interface AttemptParts {
+  readonly admission: Admission;
   readonly clock: Clock;
   readonly selection: Selection;
   readonly detector: Detector;
@@ -79,12 +80,22 @@
     server: Server,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const { dispatch, selection, detector, overload, clock, metrics } =
-      this.#parts;
+    const {
+      admission,
+      dispatch,
+      selection,
+      detector,
+      overload,
+      clock,
+      metrics,
+    } = this.#parts;
     const chosenAt = clock.now();
     return await dispatch.runOnServer(server.id, async () => {
-      // The server may have left while the request waited for room at it.
-      if (!selection.isInUse(server)) return this.#refuseSend(job, server);
+      // Much may have changed while the request waited for room at the server.
+      const isAllowed = admission.checkPlan(job.plan) === undefined;
+      if (!isAllowed || !selection.isInUse(server)) {
+        return this.#refuseSend(job, server, isAllowed);
+      }
       this.#recordSend(job, server, clock.now() - chosenAt);
       const watched = detector.recordStart(server);
       metrics.add(Counter.Attempts);
@@ -126,13 +137,14 @@
     });
   }
 
-  #refuseSend(job: Job, server: Server): AttemptResult {
+  #refuseSend(job: Job, server: Server, isAllowed: boolean): AttemptResult {
     const { logger, metrics } = this.#parts;
     metrics.add(Counter.LateChoices);
-    logger.info("sends no request to a server that leaves", {
+    logger.info("sends no request after a wait for its server", {
       request: job.plan.attempt ?? "",
       server: server.id,
       offset: server.revision,
+      reason: isAllowed ? "the server leaves" : "no longer allowed",
     });
     const { id: peer } = server;
     return {
--- a/src/services/forwarding/attempt_runner_test.ts
+++ b/src/services/forwarding/attempt_runner_test.ts
@@ -3,10 +3,12 @@
 import {
   FailureKind,
   OutcomeKind,
+  RefusalKind,
   ServerPhase,
   Step,
 } from "../../model/mod.ts";
 import type { AttemptOutcome, Server } from "../../model/mod.ts";
+import { createRefusal } from "../admission/mod.ts";
 import { createSystemClock } from "../clock/mod.ts";
 import { Configuration } from "../configuration/mod.ts";
 import type { Detector } from "../detector/mod.ts";
@@ -50,6 +52,8 @@
   /** Ends the attempts that were sent, one each call. */
   readonly sent: (() => void)[];
   readonly configuration: Configuration;
+  /** Whether admitted requests may still run. */
+  readonly plans: { isAllowed: boolean };
 }
 
 function createFixture(): Fixture {
@@ -63,7 +67,14 @@
     recordDraining: () => {},
     isDraining: ({ phase }: Server) => phase === ServerPhase.Draining,
   } as unknown as Detector;
+  const plans = { isAllowed: true };
   const parts = {
+    admission: {
+      checkPlan: () =>
+        plans.isAllowed
+          ? undefined
+          : createRefusal(RefusalKind.KeyUnknown, Step.Key),
+    },
     clock,
     detector,
     selection: new Selection({
@@ -95,34 +106,37 @@
     },
     attemptPrefix: "test",
   } as unknown as AttemptParts;
-  return { runner: new AttemptRunner(parts), sent, configuration };
+  return { runner: new AttemptRunner(parts), sent, configuration, plans };
 }
 
-/** Ways in which a server leaves. */
-const LEAVES: Record<string, (configuration: Configuration) => void> = {
-  drains: (configuration) =>
+/** What may change while a request waits. */
+const CHANGES: Record<string, (fixture: Fixture) => void> = {
+  "its server drains": ({ configuration }) =>
     configuration.setServer({
       ...SERVER,
       phase: ServerPhase.Draining,
       revision: 2,
     }),
-  "is gone": (configuration) => configuration.removeServer(SERVER.id),
+  "its server is gone": ({ configuration }) =>
+    configuration.removeServer(SERVER.id),
+  "its key is withdrawn": ({ plans }) => void (plans.isAllowed = false),
 };
 
-for (const [how, leave] of Object.entries(LEAVES)) {
+for (const [change, apply] of Object.entries(CHANGES)) {
   // Guards against a choice that is old when its request is sent.
-  test(`a request that waits for a server is not sent once it ${how}`, async () => {
-    const { runner, sent, configuration } = createFixture();
+  test(`a request that waits for a server is not sent once ${change}`, async () => {
+    const fixture = createFixture();
+    const { runner, sent } = fixture;
     const results = Array.from(
       { length: SERVER_CONCURRENCY + 1 },
       () => runner.run(JOB, SERVER, JOB.signal),
     );
     await new Promise((resolve) => setImmediate(resolve));
     assert.equal(sent.length, SERVER_CONCURRENCY);
-    leave(configuration);
+    apply(fixture);
     for (const end of [...sent]) end();
     await new Promise((resolve) => setImmediate(resolve));
-    assert.equal(sent.length, SERVER_CONCURRENCY, "sent to a leaving server");
+    assert.equal(sent.length, SERVER_CONCURRENCY, "sent all the same");
     const last = await results.at(-1);
     assert.equal(last?.kind, OutcomeKind.NotRun);
   });
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -3,7 +3,7 @@
 import { OutcomeKind, RefusalKind, RunState, Step } from "../../model/mod.ts";
 import type { Refusal, Server } from "../../model/mod.ts";
 import { createRefusal } from "../admission/mod.ts";
-import type { Admission, RequestPlan } from "../admission/mod.ts";
+import type { RequestPlan } from "../admission/mod.ts";
 import type { CallerExchange } from "../caller_front/exchange.ts";
 import { EXPIRED, runWithin } from "../clock/mod.ts";
 import { DispatchKind } from "../dispatch/mod.ts";
@@ -38,7 +38,6 @@
 
 /** What forwarding works with. */
 export interface ForwardingParts extends AttemptParts {
-  readonly admission: Admission;
   readonly random: Random;
   readonly retryBudget: RetryBudget;
 }
--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -28,7 +28,7 @@
   [Counter.Retries]: "Retries taken from the budget.",
   [Counter.Hedges]: "Requests sent to a second server beside the first.",
   [Counter.LateChoices]:
-    "Requests not sent since their server left after it was selected.",
+    "Requests not sent after a wait for the server that was selected.",
   [Counter.StoreReads]: "Reads of the store, by stream.",
   [Counter.Refusals]: "Requests that got no answer of a server, by kind.",
 };
