Let servers leave and come back in the soak, and check that they get no work

Servers now drain or vanish by a seed of their own, beside the other faults, so that earlier seeds keep their faults; a VM that nothing befalls, with the store and the way to the server sound, must send nothing to them after two seconds. The server stand-in notes when a request arrived, apart from when it began to run.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -12,6 +12,8 @@
 import { FaultProxy } from "./fault_proxy.ts";
 import { isRunning, runFaults, runPause } from "./faults.ts";
 import type { FaultRecord } from "./faults.ts";
+import { runLeaves } from "./leaves.ts";
+import type { LeaveRecord } from "./leaves.ts";
 import { listBroken } from "./promises.ts";
 import { REGRESSION_SEEDS } from "./regressions.ts";
 
@@ -30,6 +32,8 @@
 /** Rate and burst in five seconds, a tenth more, and twenty requests. */
 const LIMIT_WINDOW = (LIMIT.ratePerS * 5 + LIMIT.burst) * 1.1 + 20;
 const RECOVERED_REQUESTS = 20;
+/** Apart from the faults' seed, so that those of earlier seeds stay as they were. */
+const LEAVES_SEED = 1_000_000;
 
 /** Size and length of a run. */
 interface SoakOptions {
@@ -87,6 +91,15 @@
       { fleet, proxies, random, gapMs: 500, records: faultRecords },
       ended.signal,
     );
+    const leaveRecords: LeaveRecord[] = [];
+    const leaves = runLeaves(
+      {
+        fleet,
+        random: createSeededRandom(seed + LEAVES_SEED),
+        records: leaveRecords,
+      },
+      ended.signal,
+    );
     const withdrawnAt = new Map<string, number>();
     const pauses: Promise<void>[] = [];
     for (const [index, share] of WITHDRAW_AT.entries()) {
@@ -98,7 +111,7 @@
     }
     await waitUntilShare(1);
     ended.abort();
-    await Promise.all([faults, ...pauses]);
+    await Promise.all([faults, leaves, ...pauses]);
     const records = (await Promise.all(callers)).flat();
     const recovery = await checkRecovery(fleet);
     const limited = { key: LIMITED_KEY, window: LIMIT_WINDOW };
@@ -106,12 +119,15 @@
       fleet,
       callers: records,
       faults: faultRecords,
+      leaves: leaveRecords,
       withdrawnAt,
       limited,
     });
     process.stdout.write(
       `seed ${seed}: ${records.length} requests, ${faultRecords.length} ` +
-        `faults, ${broken.length + recovery.length} broken\n`,
+        `faults, ${leaveRecords.length} leaves, ${
+          broken.length + recovery.length
+        } broken\n`,
     );
     return [...broken, ...recovery];
   } finally {
--- a/soak/promises.ts
+++ b/soak/promises.ts
@@ -5,12 +5,14 @@
 import type { CallerRecord } from "./callers.ts";
 import { FaultKind } from "./faults.ts";
 import type { FaultRecord } from "./faults.ts";
+import type { LeaveRecord } from "./leaves.ts";
 
 /** Everything that one run saw. */
 export interface Evidence {
   readonly fleet: PlatformFleet;
   readonly callers: readonly CallerRecord[];
   readonly faults: readonly FaultRecord[];
+  readonly leaves: readonly LeaveRecord[];
   /** When each withdrawn key was taken away. */
   readonly withdrawnAt: ReadonlyMap<string, number>;
   /** Team whose rate is limited, by its key. */
@@ -19,6 +21,8 @@
 
 /** Time after which a withdrawn key must be refused, in milliseconds. */
 const REVOKE_MS = 5_000;
+/** Time after which a server that leaves gets no request, in milliseconds. */
+const DRAIN_MS = 2_000;
 /** Window of a team's rate and burst, in milliseconds. */
 const QUOTA_WINDOW_MS = 5_000;
 /** Time within which the fleet gives up all before a stop, in milliseconds. */
@@ -41,6 +45,7 @@
     ...checkWithdrawn(evidence, runs),
     ...checkQuota(evidence, runs),
     ...checkPlannedStops(evidence),
+    ...checkLeaves(evidence),
   ];
 }
 
@@ -135,6 +140,28 @@
   );
 }
 
+/** A VM that nothing befalls sends nothing to a server that has left. */
+function checkLeaves({ fleet, callers, faults, leaves }: Evidence): string[] {
+  const vms = new Map(callers.map(({ id, vm }) => [id, vm.name]));
+  return leaves.flatMap(({ server, leftAt, backAt }) => {
+    const seen = fleet.servers[server]?.seen ?? [];
+    return seen.flatMap(({ headers, arrivedAt }) => {
+      if (arrivedAt <= leftAt + DRAIN_MS || arrivedAt >= backAt) return [];
+      const id = String(headers[PLATFORM_DIALECT.attemptField]);
+      const vm = vms.get(id) ?? "";
+      const isExcused = faults.some(({ on, startedAt, endedAt }) =>
+        startedAt < arrivedAt && endedAt > leftAt - TOUCH_MS &&
+        [vm, "store", `store ${vm}`, `peer ${vm}`, `server i-${server}`]
+          .includes(on)
+      );
+      const lateMs = Math.round(arrivedAt - leftAt);
+      return isExcused
+        ? []
+        : [`${id} reached i-${server} by ${vm} ${lateMs} ms after it left`];
+    });
+  });
+}
+
 /** Whether another fault struck the VM, or its way to any server, meanwhile. */
 function isDisturbed(
   stop: FaultRecord,
--- a/standins/server_standin.ts
+++ b/standins/server_standin.ts
@@ -82,6 +82,8 @@
   readonly url: string;
   readonly headers: http.IncomingHttpHeaders;
   readonly body: string;
+  /** Monotonic time in milliseconds at which it arrived. */
+  readonly arrivedAt: number;
   /** Monotonic time in milliseconds at which it began to run. */
   readonly runAt: number;
 }
@@ -155,6 +157,7 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
+    const arrivedAt = performance.now();
     try {
       if (request.url === "/control") {
         return await this.#setMode(request, response);
@@ -167,7 +170,7 @@
       if (this.#isShedding()) return this.#sendShed(request, response);
       await this.#takeSlot();
       try {
-        await this.#run({ request, response, body });
+        await this.#run({ request, response, body, arrivedAt });
       } finally {
         this.#releaseSlot();
       }
@@ -177,7 +180,7 @@
   }
 
   async #run(exchange: Exchange): Promise<void> {
-    const { request, response, body } = exchange;
+    const { request, response, body, arrivedAt } = exchange;
     this.runCount += 1;
     if (this.keepsRequests) {
       this.seen.push({
@@ -185,6 +188,7 @@
         url: request.url ?? "",
         headers: request.headers,
         body,
+        arrivedAt,
         runAt: performance.now(),
       });
     }
@@ -330,6 +334,7 @@
   readonly request: http.IncomingMessage;
   readonly response: http.ServerResponse;
   readonly body: string;
+  readonly arrivedAt: number;
 }
 
 /** Starts a backend server on the loopback address. */
