--- a/tests/operations_test.ts
+++ b/tests/operations_test.ts
@@ -183,3 +183,31 @@
     assert.ok(log.includes(sentence), `no daemon wrote "${sentence}"`);
   }
 });
+
+test("the page leads from a request to what was known of its server", async () => {
+  const section = getSection("A request that a server got");
+  let count = 0;
+  // The store may have just come back.
+  await waitUntil(async () => {
+    count += 1;
+    const request = { path: "/look/1", key: KEY, attempt: `d${count}` };
+    return (await sendToVm(getVm(), request)).status === 200;
+  }, STALE_LIMIT_MS);
+  const attempt = `d${count}`;
+  const line = checkLine(
+    await runPageCommand(attempt, "sends a request to a server"),
+    section,
+    "sends a request to a server",
+    ["server", "waitedMs", "offset"],
+  );
+  assert.equal(typeof line["offset"], "number");
+  const entry = log.split("\n").find((text) =>
+    text.includes("a server's entry changed") &&
+    text.includes(`"server":"${line["server"]}"`)
+  );
+  assert.ok(entry, "no line on the server's entry");
+  for (const field of ["origin", "offset"]) {
+    assert.ok(entry.includes(`"${field}":`), entry);
+    assert.ok(section.includes(field), `the section lacks "${field}"`);
+  }
+});
