--- a/tests/feed_world.ts
+++ b/tests/feed_world.ts
@@ -16,7 +16,9 @@
 import type {
   FeedRead,
   FeedSource,
+  ServerEntry,
   ServerUpdate,
+  ServerVersion,
 } from "../src/services/feed/source.ts";
 import { createFleetLoads } from "../src/services/fleet/loads.ts";
 import {
@@ -164,6 +166,26 @@
   return Number(name.slice(1)) >= VMS_PER_DOMAIN - 2 ? 250 : 2.7;
 }
 
+/** Creates what the server `id` writes of itself. */
+export function createServerEntry(
+  id: string,
+  phase: ServerPhase,
+  version: ServerVersion,
+): ServerEntry {
+  return {
+    server: {
+      id,
+      service: "rota",
+      host: id,
+      port: 80,
+      failureDomain: "a",
+      slots: 4,
+      phase,
+    },
+    ...version,
+  };
+}
+
 /** A line that a VM wrote. */
 export interface LogLine {
   readonly at: number;
@@ -315,23 +337,11 @@
       this.servers.add({ kind: ServerUpdateKind.Removed, offset, id });
       return;
     }
-    this.servers.add({
-      kind: ServerUpdateKind.Listed,
-      offset,
-      entry: {
-        server: {
-          id,
-          service: "rota",
-          host: id,
-          port: 80,
-          failureDomain: "a",
-          slots: 4,
-          phase,
-        },
-        startedAt: 1,
-        sequence: offset,
-      },
+    const entry = createServerEntry(id, phase, {
+      startedAt: 1,
+      sequence: offset,
     });
+    this.servers.add({ kind: ServerUpdateKind.Listed, offset, entry });
   }
 
   listHubs(): VirtualVm[] {
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -1,10 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ServerPhase } from "../src/model/mod.ts";
-import type { ServerEntry } from "../src/services/feed/source.ts";
 import { FleetRole } from "../src/services/fleet/mod.ts";
 import { createSeededRandom } from "../src/services/random/mod.ts";
 import {
+  createServerEntry,
   createWorld,
   DOMAINS,
   DRAIN_MS,
@@ -309,7 +309,10 @@
   const missing = world.vms.find((vm) => vm.fleet.role !== FleetRole.Hub);
   if (missing === undefined) throw new Error("there is no follower");
   // As if it had read further than its hub and still not seen the change.
-  const entry = createStaleEntry("s3");
+  const entry = createServerEntry("s3", ServerPhase.Active, {
+    startedAt: 1,
+    sequence: 0,
+  });
   missing.registry.setPassed({ entry, offset: 1_000 }, world.time.now);
   assert.deepEqual(listActive(missing), ["s1", "s2", "s3"]);
   world.announceServer("s1", ServerPhase.Draining);
@@ -317,22 +320,6 @@
   assert.deepEqual(listActive(missing), ["s2"]);
 });
 
-function createStaleEntry(id: string): ServerEntry {
-  return {
-    server: {
-      id,
-      service: "rota",
-      host: id,
-      port: 80,
-      failureDomain: "a",
-      slots: 4,
-      phase: ServerPhase.Active,
-    },
-    startedAt: 1,
-    sequence: 0,
-  };
-}
-
 test("no VM acts on a configuration that was replaced long ago", async () => {
   for (const seed of [1, 2, 3, 4]) {
     const world = await createWorld();
--- a/tests/leaving_scenario.ts
+++ b/tests/leaving_scenario.ts
@@ -3,7 +3,7 @@
 import { ServerUpdateKind } from "../src/services/feed/source.ts";
 import { createSeededRandom } from "../src/services/random/mod.ts";
 import type { Random } from "../src/services/random/mod.ts";
-import { DRAIN_MS } from "./feed_world.ts";
+import { createServerEntry, DRAIN_MS } from "./feed_world.ts";
 import type { VirtualVm, World } from "./feed_world.ts";
 
 const SERVERS = 12;
@@ -146,23 +146,8 @@
     }
     server.sequence += 1;
     const { sequence } = server;
-    servers.add({
-      kind: ServerUpdateKind.Listed,
-      offset,
-      entry: {
-        server: {
-          id,
-          service: "rota",
-          host: id,
-          port: 80,
-          failureDomain: "a",
-          slots: 4,
-          phase,
-        },
-        startedAt,
-        sequence,
-      },
-    });
+    const entry = createServerEntry(id, phase, { startedAt, sequence });
+    servers.add({ kind: ServerUpdateKind.Listed, offset, entry });
   }
 
   #advanceServers(): void {
