--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -170,6 +170,18 @@
   }
 });
 
+test("a hub that gets no answer about servers alone hands its domain over", async () => {
+  const world = await createWorld();
+  world.announceServer("s1", ServerPhase.Active);
+  const [hub] = world.listHubs();
+  if (hub === undefined) throw new Error("there is no hub");
+  world.servers.silenced.add(hub.name);
+  await world.time.advance(SETTLE_MS);
+  const domains = world.listHubs().map((vm) => vm.fleet.self.failureDomain);
+  assert.deepEqual(domains.toSorted(), DOMAINS);
+  assert.ok(!world.listHubs().includes(hub));
+});
+
 test("hubs stay hubs when the store is away for all and comes back", async () => {
   const world = await createWorld();
   const hubs = world.listHubs().map(({ name }) => name);
