--- a/tests/leaving_scenario.ts
+++ b/tests/leaving_scenario.ts
@@ -214,7 +214,7 @@
         return;
       case FaultKind.Silence:
         this.#world.documents.silenced.add(vm.name);
-        this.#addFault("silence_documents", vm, forMs, () => {
+        this.#addFault(kind, vm, forMs, () => {
           this.#world.documents.silenced.delete(vm.name);
         });
         return this.#cutServerReads(vm, forMs);
@@ -283,7 +283,7 @@
   }
 
   #addFault(
-    kind: string,
+    kind: FaultKind,
     { name }: { readonly name: string },
     forMs: number,
     end: () => void,
