Refuse a request at its deadline when its body does not come

A caller that stalled in its body got no answer at its deadline, and kept a task and a connection for up to five minutes (Node's own limit).

Cause: bodies are read before a server is selected, and that read did not end with the request's deadline.

Change: the read ends when the deadline passes or the caller leaves; the request is refused as not run, at the step `body`.

--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -86,13 +86,12 @@
     const cancelTimer = this.#parts.clock.startTimer(remainingMs, cancelJob);
     exchange.signal.addEventListener("abort", cancelJob, { once: true });
     try {
-      const body = await readRequestBody(exchange.body);
-      return await this.#serveJob({
-        plan,
-        exchange,
-        body,
-        signal: ended.signal,
-      });
+      const { signal } = ended;
+      const body = await readRequestBody(exchange.body, signal);
+      if (body === undefined) {
+        return await this.#refuseExpired(exchange, Step.Body);
+      }
+      return await this.#serveJob({ plan, exchange, body, signal });
     } finally {
       cancelTimer();
     }
@@ -126,10 +125,7 @@
           ),
         );
       case DispatchKind.Cancelled:
-        return await this.#refuse(
-          job,
-          createRefusal(RefusalKind.DeadlineExpired, Step.Queue),
-        );
+        return await this.#refuseExpired(job.exchange, Step.Queue);
     }
   }
 
@@ -406,9 +402,18 @@
     }
   }
 
-  async #refuse(job: Job, refusal: Refusal): Promise<Refusal> {
+  /** Refuses a request whose deadline passed before any server got it. */
+  #refuseExpired(exchange: CallerExchange, step: Step): Promise<Refusal> {
+    const refusal = createRefusal(RefusalKind.DeadlineExpired, step);
+    return this.#refuse({ exchange }, refusal);
+  }
+
+  async #refuse(
+    { exchange }: Pick<Job, "exchange">,
+    refusal: Refusal,
+  ): Promise<Refusal> {
     this.#parts.metrics.add(Counter.Refusals, refusal.kind);
-    await job.exchange.sendRefusal(refusal);
+    await exchange.sendRefusal(refusal);
     return refusal;
   }
 }
--- a/src/services/forwarding/request_body.ts
+++ b/src/services/forwarding/request_body.ts
@@ -15,19 +15,23 @@
 /**
  * Reads a body before any server is selected, so that no selected server waits
  * for its caller. Of a long one only the beginning is held; the rest is
- * streamed. Throws when the caller breaks off.
+ * streamed. Undefined when `signal` aborts first; throws when the caller breaks
+ * off.
  */
 export async function readRequestBody(
   incoming: IncomingBody,
-): Promise<RequestBody> {
+  signal: AbortSignal,
+): Promise<RequestBody | undefined> {
   if (incoming.length === 0) {
     return { length: 0, isRepeatable: true, read: () => undefined };
   }
   const reader = incoming.read()[Symbol.asyncIterator]();
+  const aborted = waitForAbort(signal);
   const held: Uint8Array[] = [];
   let length = 0;
   while (length <= REPEATABLE_BODY_LIMIT_BYTES) {
-    const next = await reader.next();
+    const next = await Promise.race([reader.next(), aborted]);
+    if (next === undefined) return undefined;
     if (next.done) {
       return { length, isRepeatable: true, read: () => listChunks(held) };
     }
@@ -37,6 +41,15 @@
   return createStreamedBody(incoming.length, held, reader);
 }
 
+/** Resolves to undefined when `signal` aborts. */
+function waitForAbort(signal: AbortSignal): Promise<undefined> {
+  return new Promise((resolve) => {
+    if (signal.aborted) return resolve(undefined);
+    const stop = (): void => resolve(undefined);
+    signal.addEventListener("abort", stop, { once: true });
+  });
+}
+
 function createStreamedBody(
   length: number | undefined,
   held: readonly Uint8Array[],
--- a/src/services/forwarding/request_body_test.ts
+++ b/src/services/forwarding/request_body_test.ts
@@ -37,12 +37,16 @@
 test("a short body without a length is whole before it is forwarded", async () => {
   const incoming = createIncoming();
   let isRead = false;
-  const reading = readRequestBody({ length: undefined, read: incoming.read })
-    .finally(() => isRead = true);
+  const { signal } = new AbortController();
+  const reading = readRequestBody(
+    { length: undefined, read: incoming.read },
+    signal,
+  ).finally(() => isRead = true);
   await incoming.send(false);
   assert.equal(isRead, false);
   await incoming.send(true);
   const body = await reading;
+  assert.ok(body);
   assert.equal(body.length, 2 * CHUNK_BYTES);
   assert.ok(body.isRepeatable);
   assert.equal(await countBytes(body), 2 * CHUNK_BYTES);
@@ -58,7 +62,8 @@
         yield await Promise.resolve(new Uint8Array(CHUNK_BYTES));
       }
     },
-  });
+  }, new AbortController().signal);
+  assert.ok(body);
   assert.equal(body.length, chunks * CHUNK_BYTES);
   assert.ok(body.isRepeatable);
   assert.equal(await countBytes(body), chunks * CHUNK_BYTES);
--- a/tests/forwarding_test.ts
+++ b/tests/forwarding_test.ts
@@ -17,6 +17,8 @@
 import type { TestDaemon } from "./harness.ts";
 
 const SLOTS = 4;
+/** Bound on how late a refusal may come; well under Node's own time-outs. */
+const STALL_LIMIT_MS = 5_000;
 
 interface Setup {
   readonly daemon: TestDaemon;
@@ -288,3 +290,18 @@
     assert.equal(servers[0]?.runCount, 1);
   });
 });
+
+for (const length of ["content-length: 10", "transfer-encoding: chunked"]) {
+  // Guards against callers that wait for ever because their body does not end.
+  test(`a body with ${length} that stalls is refused at the deadline`, async () => {
+    const deadlineMs = 300;
+    await runWithServers([Healthy], async ({ daemon, servers }) => {
+      const startedAt = performance.now();
+      const request = formatRequest("POST /swaps", [KEY_LINE, length], "3\r\n");
+      const answer = await sendRaw(daemon.port, request);
+      assert.match(answer, /^HTTP\/1.1 504 .*"run":"not run"/s);
+      assert.ok(performance.now() - startedAt < STALL_LIMIT_MS);
+      assert.equal(servers[0]?.runCount, 0);
+    }, { deadlineMs });
+  });
+}
