Check a request again when the connection to its server is open

A caller's request could reach a server up to 300 ms after its VM knew that the server leaves.

Cause: the last look at the server comes before a connection is opened. Node writes the head into a socket that still connects, so it goes out whenever the server accepts, up to CONNECT_TIMEOUT_MS later. By reckoning a hub that loses one read knows of a leaving server after 1.76 s; with 0.3 s more that is beyond two seconds.

A withdrawn key is covered as well.

Change: nothing is written before the connection is open; then server, key, deadline and freshness are checked once more. If one no longer holds, the attempt ends as not run, at the step `connect`.

Evidence: "a request on ... connection is not sent once that is too late" (upstream_client_test.ts), on its own and on a kept connection, fails on the former client (run: the server got the request) and passes. "a request that waits for a connection is not sent once ..." (attempt_runner_test.ts) holds what is asked.

--- a/src/protocols/http/upstream_client.ts
+++ b/src/protocols/http/upstream_client.ts
@@ -168,34 +168,33 @@
       this.#cancel(FailureKind.InvalidAnswer);
     });
     this.#request.once("response", (response) => this.#setAnswered(response));
-    void this.#writeBody();
+    void this.#writeRequest();
   }
 
   #waitForConnect(socket: Socket): void {
-    if (!socket.connecting) {
-      this.#step = Step.Write;
-      this.#setConnected();
-      return;
-    }
+    if (!socket.connecting) return this.#setConnected();
     this.#connectTimer = setTimeout(
       () => this.#cancel(FailureKind.TimedOut),
       CONNECT_TIMEOUT_MS,
     );
     socket.once("connect", () => {
       clearTimeout(this.#connectTimer);
-      this.#step = Step.Write;
       socket.setNoDelay(true);
       this.#setConnected();
     });
   }
 
-  async #writeBody(): Promise<void> {
-    const { body } = this.#attempt;
+  /** Nothing is sent before the connection is open, not even the head. */
+  async #writeRequest(): Promise<void> {
+    const { body, isAllowed } = this.#attempt;
+    await this.#connected;
+    if (this.#request.destroyed) return;
+    if (!isAllowed()) return this.#cancel(FailureKind.NoServer);
+    this.#step = Step.Write;
     if (body === undefined) {
       this.#request.end(() => this.#setWritten());
       return;
     }
-    await this.#connected;
     try {
       for await (const chunk of body) {
         if (this.#request.destroyed) return;
--- a/src/protocols/http/upstream_client_test.ts
+++ b/src/protocols/http/upstream_client_test.ts
@@ -11,24 +11,32 @@
 
 const HEAD = "HTTP/1.1 200 OK\r\nrhubarbwall-attempt: a-1\r\n\r\n";
 
-/** Sends one request to a server that answers by `answer`; reads the body. */
-async function fetchBody(
+/** Runs `body` with the port of a server that answers by `answer`. */
+async function runWithServer<T>(
   answer: (socket: Socket) => void,
-): Promise<string> {
+  body: (port: number) => Promise<T>,
+): Promise<T> {
   const server = net.createServer((socket) => {
     socket.on("error", () => {});
     socket.once("data", () => answer(socket));
   });
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
-  const client = createHttpUpstreamClient(OWN_DIALECT);
-  const attempt: Attempt = {
+  try {
+    return await body((server.address() as AddressInfo).port);
+  } finally {
+    server.close();
+  }
+}
+
+function createAttempt(port: number): Attempt {
+  return {
     id: "a-1",
     server: {
       id: "s-1",
       service: "rota",
       host: "127.0.0.1",
-      port: (server.address() as AddressInfo).port,
+      port,
       failureDomain: "a",
       slots: 4,
       phase: ServerPhase.Active,
@@ -42,21 +50,28 @@
     body: undefined,
     remainingMs: 1_000,
     mayReuseConnection: false,
+    isAllowed: () => true,
     signal: new AbortController().signal,
   };
-  try {
-    const outcome = await client.send(attempt);
-    assert.equal(outcome.kind, OutcomeKind.Answered);
-    if (outcome.kind !== OutcomeKind.Answered) return "";
-    let body = "";
-    for await (const chunk of outcome.answer.readBody()) {
-      body += Buffer.from(chunk).toString();
+}
+
+/** Sends one request to a server that answers by `answer`; reads the body. */
+function fetchBody(answer: (socket: Socket) => void): Promise<string> {
+  return runWithServer(answer, async (port) => {
+    const client = createHttpUpstreamClient(OWN_DIALECT);
+    try {
+      const outcome = await client.send(createAttempt(port));
+      assert.equal(outcome.kind, OutcomeKind.Answered);
+      if (outcome.kind !== OutcomeKind.Answered) return "";
+      let body = "";
+      for await (const chunk of outcome.answer.readBody()) {
+        body += Buffer.from(chunk).toString();
+      }
+      return body;
+    } finally {
+      client.close();
     }
-    return body;
-  } finally {
-    client.close();
-    server.close();
-  }
+  });
 }
 
 test("an answer without a length is whole when its connection is closed", async () => {
@@ -76,3 +91,24 @@
     );
   });
 }
+
+for (const mayReuseConnection of [false, true]) {
+  const connection = mayReuseConnection ? "a kept" : "its own";
+  // Guards against a server that leaves while the connection is being opened.
+  test(`a request on ${connection} connection is not sent once that is too late`, async () => {
+    let bytes = 0;
+    const count = (socket: Socket): void => {
+      bytes += 1;
+      socket.end(HEAD);
+    };
+    const outcome = await runWithServer(count, async (port) => {
+      const client = createHttpUpstreamClient(OWN_DIALECT);
+      const late = { mayReuseConnection, isAllowed: () => false };
+      const sent = await client.send({ ...createAttempt(port), ...late });
+      client.close();
+      return sent;
+    });
+    assert.equal(outcome.kind, OutcomeKind.NotRun);
+    assert.equal(bytes, 0);
+  });
+}
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -80,21 +80,18 @@
     server: Server,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const {
-      admission,
-      dispatch,
-      selection,
-      detector,
-      overload,
-      clock,
-      metrics,
-    } = this.#parts;
+    const { dispatch, selection, detector, overload, clock, metrics } =
+      this.#parts;
     const chosenAt = clock.now();
     return await dispatch.runOnServer(server.id, async () => {
       // Much may have changed while the request waited for room at the server.
-      const isAllowed = admission.checkPlan(job.plan) === undefined;
-      if (!isAllowed || !selection.isInUse(server)) {
-        return this.#refuseSend(job, server, isAllowed);
+      if (!this.#checkSend(job, server)) {
+        const failure = {
+          kind: FailureKind.NoServer,
+          step: Step.Queue,
+          peer: server.id,
+        };
+        return { kind: OutcomeKind.NotRun, failure };
       }
       this.#recordSend(job, server, clock.now() - chosenAt);
       const watched = detector.recordStart(server);
@@ -137,20 +134,19 @@
     });
   }
 
-  #refuseSend(job: Job, server: Server, isAllowed: boolean): AttemptResult {
-    const { logger, metrics } = this.#parts;
+  /** Whether a request may be sent to the server that was selected for it. */
+  #checkSend({ plan }: Job, server: Server): boolean {
+    const { admission, logger, metrics, selection } = this.#parts;
+    const isAllowed = admission.checkPlan(plan) === undefined;
+    if (isAllowed && selection.isInUse(server)) return true;
     metrics.add(Counter.LateChoices);
     logger.info("sends no request after a wait for its server", {
-      request: job.plan.attempt ?? "",
+      request: plan.attempt ?? "",
       server: server.id,
       offset: server.revision,
       reason: isAllowed ? "the server leaves" : "no longer allowed",
     });
-    const { id: peer } = server;
-    return {
-      kind: OutcomeKind.NotRun,
-      failure: { kind: FailureKind.NoServer, step: Step.Queue, peer },
-    };
+    return false;
   }
 
   #createAttempt(job: Job, server: Server, signal: AbortSignal): Attempt {
@@ -168,6 +164,7 @@
       body: body.read(),
       remainingMs: plan.deadlineAt - this.#parts.clock.now(),
       mayReuseConnection: plan.route.idempotency === Idempotency.Idempotent,
+      isAllowed: () => this.#checkSend(job, server),
       signal,
     };
   }
--- a/src/services/forwarding/attempt_runner_test.ts
+++ b/src/services/forwarding/attempt_runner_test.ts
@@ -17,7 +17,7 @@
 import { Selection } from "../selection/mod.ts";
 import { AttemptRunner } from "./attempt_runner.ts";
 import type { AttemptParts, Job } from "./attempt_runner.ts";
-import type { UpstreamAnswer } from "./upstream.ts";
+import type { Attempt, UpstreamAnswer } from "./upstream.ts";
 
 /** Requests that one server gets from one VM at the same time. */
 const SERVER_CONCURRENCY = 4;
@@ -51,6 +51,7 @@
   readonly runner: AttemptRunner;
   /** Ends the attempts that were sent, one each call. */
   readonly sent: (() => void)[];
+  readonly attempts: Attempt[];
   readonly configuration: Configuration;
   /** Whether admitted requests may still run. */
   readonly plans: { isAllowed: boolean };
@@ -58,6 +59,7 @@
 
 function createFixture(): Fixture {
   const sent: (() => void)[] = [];
+  const attempts: Attempt[] = [];
   const clock = createSystemClock();
   const configuration = new Configuration("cell", clock);
   configuration.setServer(SERVER);
@@ -90,8 +92,9 @@
     logger: { info: () => {} },
     overload: { recordWork: () => {} },
     upstream: {
-      send: () =>
+      send: (attempt: Attempt) =>
         new Promise<AttemptOutcome<UpstreamAnswer>>((resolve) => {
+          attempts.push(attempt);
           sent.push(() =>
             resolve({
               kind: OutcomeKind.MayHaveRun,
@@ -106,7 +109,8 @@
     },
     attemptPrefix: "test",
   } as unknown as AttemptParts;
-  return { runner: new AttemptRunner(parts), sent, configuration, plans };
+  const runner = new AttemptRunner(parts);
+  return { runner, sent, attempts, configuration, plans };
 }
 
 /** What may change while a request waits. */
@@ -141,3 +145,18 @@
     assert.equal(last?.kind, OutcomeKind.NotRun);
   });
 }
+
+for (const [change, apply] of Object.entries(CHANGES)) {
+  // Guards against a choice that is old when its connection is open.
+  test(`a request that waits for a connection is not sent once ${change}`, async () => {
+    const fixture = createFixture();
+    const { runner, sent, attempts } = fixture;
+    const result = runner.run(JOB, SERVER, JOB.signal);
+    await new Promise((resolve) => setImmediate(resolve));
+    assert.equal(attempts[0]?.isAllowed(), true);
+    apply(fixture);
+    assert.equal(attempts[0]?.isAllowed(), false);
+    for (const end of sent) end();
+    await result;
+  });
+}
--- a/src/services/forwarding/upstream.ts
+++ b/src/services/forwarding/upstream.ts
@@ -35,6 +35,11 @@
   readonly remainingMs: number;
   /** Whether a connection that was used before may carry it. */
   readonly mayReuseConnection: boolean;
+  /**
+   * Whether it may still be sent; asked when its connection is open. If not, it
+   * ends as not run.
+   */
+  readonly isAllowed: () => boolean;
   /** Cancels the attempt. */
   readonly signal: AbortSignal;
 }
