--- a/standins/memory_network.ts
+++ b/standins/memory_network.ts
@@ -118,6 +118,11 @@
     return near;
   }
 
+  /** Loses all that is sent on the open connections; new ones work. */
+  setSilent(): void {
+    for (const connection of this.#connections) connection.setSilent();
+  }
+
   /** Closes everything, as a crash does. */
   close(): Promise<void> {
     this.isDown = true;
@@ -129,6 +134,7 @@
 
 class MemoryConnection<Message> implements PeerConnection<Message> {
   remote: MemoryConnection<Message> | undefined;
+  #isSilent = false;
   readonly #transport: MemoryTransport<Message>;
   readonly #received = new Channel<Message>();
 
@@ -137,7 +143,7 @@
   }
 
   send(message: Message): void {
-    const { network, address, traffic } = this.#transport;
+    const { network, traffic } = this.#transport;
     const { remote } = this;
     if (remote === undefined || this.#transport.isDown) return;
     traffic.sentMessages += 1;
@@ -148,21 +154,39 @@
       remote.#transport.traffic.receivedBytes += bytes;
     }
     network.time.startTimer(network.options.latencyMs, () => {
-      if (network.isCut(address, remote.#transport.address)) return;
-      remote.#transport.clock.runAwake(() => remote.#received.send(message));
+      if (!this.#isHeardBy(remote)) return;
+      remote.#transport.clock.runAwake(() => {
+        const isOpen = remote.#received.send(message);
+        if (!isOpen && remote.#isHeardBy(this)) this.#setClosed();
+      });
     });
   }
 
+  /** Loses all that either end sends from now on. */
+  setSilent(): void {
+    this.#isSilent = true;
+    if (this.remote !== undefined) this.remote.#isSilent = true;
+  }
+
   listMessages(): AsyncIterable<Message> {
     return this.#received;
   }
 
+  /** Closes this end; the other end is told unless the way there is cut. */
   close(): void {
     const { remote } = this;
+    this.#setClosed();
+    if (remote !== undefined && this.#isHeardBy(remote)) remote.#setClosed();
+  }
+
+  #setClosed(): void {
     this.#received.close();
     this.remote = undefined;
-    if (remote === undefined) return;
-    remote.remote = undefined;
-    remote.#received.close();
+  }
+
+  #isHeardBy(remote: MemoryConnection<Message>): boolean {
+    const { network, address } = this.#transport;
+    return !this.#isSilent &&
+      !network.isCut(address, remote.#transport.address);
   }
 }
--- a/tests/feed_world.ts
+++ b/tests/feed_world.ts
@@ -66,6 +66,10 @@
   readonly turnedAway = new Set<string>();
   /** VMs whose calls get no answer until they time out. */
   readonly silenced = new Set<string>();
+  /** VMs whose calls take this much longer, in milliseconds. */
+  readonly delays = new Map<string, number>();
+  /** Whether an answer to a VM is lost; asked once a call. */
+  isLost: (vm: string) => boolean = () => false;
   isDown = false;
   calls = 0;
   /** Offset of the first update that is still in the history. */
@@ -73,6 +77,9 @@
   readonly #newest = new Map<string, Update>();
   readonly #wakers = new Set<() => void>();
   readonly #options: MemoryTopicOptions<Update>;
+  #isHeld = false;
+  /** End of the updates that readers who wait are shown while held. */
+  #heldAt = 0;
 
   constructor(options: MemoryTopicOptions<Update>) {
     this.#options = options;
@@ -83,6 +90,7 @@
     const key = this.#options.getKey(update);
     if (this.#options.isDrop(update)) this.#newest.delete(key);
     else this.#newest.set(key, update);
+    if (this.#isHeld) return;
     for (const wake of this.#wakers) wake();
   }
 
@@ -91,6 +99,19 @@
     this.#first = this.updates.length;
   }
 
+  /** Lets readers wait for updates in vain until the history is dropped. */
+  holdUpdates(): void {
+    this.#isHeld = true;
+    this.#heldAt = this.updates.length;
+  }
+
+  /** Ends {@linkcode holdUpdates}. */
+  releaseUpdates(): void {
+    this.#isHeld = false;
+    this.removeHistory();
+    for (const wake of this.#wakers) wake();
+  }
+
   createSource(vm: string, clock: VirtualClock): FeedSource<Update> {
     const read = async (
       createRead: () => FeedRead<Update>,
@@ -98,12 +119,12 @@
       waitMs: number,
     ): Promise<FeedRead<Update>> => {
       this.calls += 1;
-      await clock.sleep(CALL_MS);
+      await clock.sleep(CALL_MS + (this.delays.get(vm) ?? 0));
       if (this.isDown || this.turnedAway.has(vm)) {
         return { kind: FeedReadKind.Unavailable, reason: "turned away" };
       }
       if (!isDue() && waitMs > 0) await this.#waitForUpdate(clock, waitMs);
-      if (this.silenced.has(vm)) {
+      if (this.silenced.has(vm) || this.isLost(vm)) {
         await clock.sleep(CALL_TIMEOUT_MS);
         return { kind: FeedReadKind.Unavailable, reason: "no answer" };
       }
@@ -115,7 +136,7 @@
     return {
       readNewest: () =>
         read(
-          () => this.#createUpdates([...this.#newest.values()]),
+          () => createUpdates([...this.#newest.values()], this.updates.length),
           () => true,
           0,
         ),
@@ -124,16 +145,19 @@
           () =>
             position < this.#first
               ? { kind: FeedReadKind.Forgotten }
-              : this.#createUpdates(this.updates.slice(position)),
-          () => position < this.updates.length,
+              : createUpdates(
+                this.updates.slice(position, this.#end),
+                Math.max(position, this.#end),
+              ),
+          () => position < this.#end,
           waitMs,
         ),
     };
   }
 
-  #createUpdates(updates: readonly Update[]): FeedRead<Update> {
-    const next = this.updates.length;
-    return { kind: FeedReadKind.Updates, updates, next, isComplete: true };
+  /** End of the updates that a read from a position is shown. */
+  get #end(): number {
+    return this.#isHeld ? this.#heldAt : this.updates.length;
   }
 
   #waitForUpdate(clock: VirtualClock, waitMs: number): Promise<void> {
@@ -148,6 +172,13 @@
   }
 }
 
+function createUpdates<Update>(
+  updates: readonly Update[],
+  next: number,
+): FeedRead<Update> {
+  return { kind: FeedReadKind.Updates, updates, next, isComplete: true };
+}
+
 /** One VM of a {@linkcode World}. */
 export interface VirtualVm {
   readonly name: string;
@@ -159,6 +190,8 @@
   readonly registry: ServerRegistry;
   readonly loads: LoadExchange;
   readonly stop: AbortController;
+  /** Whether it has been told to stop as planned. */
+  isLeaving: boolean;
 }
 
 /** Two VMs of each domain are larger than the others. */
@@ -255,9 +288,10 @@
       seeds: [],
       logger,
     });
-    fleet.setPhaseSource(() =>
-      freshness.isFresh() ? VmPhase.Serving : VmPhase.Starting
-    );
+    fleet.setPhaseSource(() => {
+      if (vm.isLeaving) return VmPhase.Leaving;
+      return freshness.isFresh() ? VmPhase.Serving : VmPhase.Starting;
+    });
     const loads = createFleetLoads(fleet);
     loads.setSource(() => new Map([["s1", 1]]));
     const registry = new ServerRegistry({ configuration, logger });
@@ -280,15 +314,7 @@
       logger,
     });
     const stop = new AbortController();
-    void fleet.runAccepting();
-    void fleet.runAnnouncing(stop.signal);
-    void fleet.runDirectory(stop.signal);
-    void fleet.runUplink(stop.signal);
-    void fleet.runBeats(stop.signal);
-    void fleet.runLoads(stop.signal);
-    void feed.runDocuments(stop.signal);
-    void feed.runServers(stop.signal);
-    const vm = {
+    const vm: VirtualVm = {
       name,
       clock,
       transport,
@@ -298,7 +324,16 @@
       registry,
       loads,
       stop,
+      isLeaving: false,
     };
+    void fleet.runAccepting();
+    void fleet.runAnnouncing(stop.signal);
+    void fleet.runDirectory(stop.signal);
+    void fleet.runUplink(stop.signal);
+    void fleet.runBeats(stop.signal);
+    void fleet.runLoads(stop.signal);
+    void feed.runDocuments(stop.signal);
+    void feed.runServers(stop.signal);
     const index = this.vms.findIndex((known) => known.name === name);
     if (index < 0) this.vms.push(vm);
     else this.vms[index] = vm;
--- a/tests/leaving_scenario.ts
+++ b/tests/leaving_scenario.ts
@@ -19,8 +19,20 @@
 const ABRUPT_RATIO = 0.4;
 /** Share of the VMs that one outage for some of them turns away. */
 const TURNED_AWAY_RATIO = 0.35;
+/** Time that calls to a slow store take longer. */
+const SLOW_CALL_MS = 250;
+/** Share of the calls whose answer is lost. */
+const LOST_CALL_RATIO = 0.3;
+/** Time for which readers wait in vain before the history is dropped. */
+const HOLD_MS = 1_000;
+/** Time from a planned stop's signal until the process ends. */
+const STOP_MS = 3_000;
+/** Share of the servers that left which start again under their id. */
+const REBORN_RATIO = 0.5;
+/** Longest time from a server's end until it starts again. */
+const REBORN_MS = 6_000;
 
-enum FaultKind {
+export enum FaultKind {
   Kill = "kill",
   KillAll = "kill_all",
   Pause = "pause",
@@ -36,11 +48,32 @@
   Cut = "cut",
   StoreDown = "store_down",
   RemoveHistory = "remove_history",
+  /** What a VM sends to some others is lost, or what they send to it. */
+  CutOneWay = "cut_one_way",
+  /** A VM loses power: nobody is told that its connections are gone. */
+  PowerOff = "power_off",
+  /** Open connections of a VM go silent; new ones work. */
+  SilentLinks = "silent_links",
+  PlannedStop = "planned_stop",
+  /** The store answers one VM late. */
+  SlowStore = "slow_store",
+  /** Some answers of the store to one VM are lost. */
+  LostAnswers = "lost_answers",
+  /** Readers wait in vain for a second; then the history is dropped. */
+  HeldUpdates = "held_updates",
 }
 
-/** Kinds as often as they are drawn. */
-const FAULT_KINDS: readonly FaultKind[] = [
-  ...Object.values(FaultKind).filter((kind) => kind !== FaultKind.KillAll),
+/** What befalls VMs and store, each kind as often as it is drawn. */
+export const STORE_TROUBLE: readonly FaultKind[] = [
+  FaultKind.Kill,
+  FaultKind.Pause,
+  FaultKind.TurnAway,
+  FaultKind.TurnAwaySome,
+  FaultKind.Silence,
+  FaultKind.SilenceServers,
+  FaultKind.Cut,
+  FaultKind.StoreDown,
+  FaultKind.RemoveHistory,
   FaultKind.Kill,
   FaultKind.TurnAway,
   FaultKind.TurnAwaySome,
@@ -48,9 +81,31 @@
   FaultKind.KillAll,
 ];
 
+/** The same with links that fail by halves, and with planned stops. */
+export const LINK_TROUBLE: readonly FaultKind[] = [
+  ...STORE_TROUBLE,
+  FaultKind.CutOneWay,
+  FaultKind.CutOneWay,
+  FaultKind.PowerOff,
+  FaultKind.SilentLinks,
+  FaultKind.PlannedStop,
+  FaultKind.PlannedStop,
+  FaultKind.SlowStore,
+  FaultKind.LostAnswers,
+  FaultKind.HeldUpdates,
+];
+
+/** What a scenario plays. */
+export interface ScenarioOptions {
+  readonly seed: number;
+  readonly kinds: readonly FaultKind[];
+  /** Whether servers start again under the id that they had. */
+  readonly areReborn: boolean;
+}
+
 interface ScenarioServer {
   readonly id: string;
-  readonly startedAt: number;
+  startedAt: number;
   sequence: number;
   beatAt: number;
   /** Undefined once its entry was removed. */
@@ -59,6 +114,8 @@
   leftAt: number;
   /** When a server that drains ends. */
   endsAt: number;
+  /** When a server that has left starts again. */
+  rebornAt: number;
 }
 
 /** Something that is wrong until it ends; several of one key may overlap. */
@@ -71,6 +128,7 @@
 /** Plays one seed; call {@linkcode advance} after each advance of time. */
 export class LeavingScenario {
   readonly #world: World;
+  readonly #options: ScenarioOptions;
   readonly #random: Random;
   readonly #servers: ScenarioServer[] = [];
   readonly #faults: Fault[] = [];
@@ -79,9 +137,10 @@
   #storeDisturbedUntil = -Infinity;
 
   /** Creates a scenario whose servers are announced at once. */
-  constructor(world: World, seed: number) {
+  constructor(world: World, options: ScenarioOptions) {
     this.#world = world;
-    this.#random = createSeededRandom(seed);
+    this.#options = options;
+    this.#random = createSeededRandom(options.seed);
     for (let index = 0; index < SERVERS; index += 1) this.#addServer();
   }
 
@@ -131,6 +190,7 @@
       phase: ServerPhase.Active,
       leftAt: Infinity,
       endsAt: Infinity,
+      rebornAt: Infinity,
     };
     this.#servers.push(server);
     this.#write(server);
@@ -152,6 +212,7 @@
 
   #advanceServers(): void {
     for (const server of this.#servers) {
+      if (this.#now >= server.rebornAt) this.#startAgain(server);
       if (server.phase === undefined) continue;
       if (this.#now >= server.endsAt) server.phase = undefined;
       else if (this.#now - server.beatAt < HEARTBEAT_MS) continue;
@@ -177,6 +238,19 @@
       server.endsAt = this.#now + 2_000 + this.#random() * 12_000;
     }
     this.#write(server);
+    if (!this.#options.areReborn || this.#random() >= REBORN_RATIO) return;
+    const endsAt = Math.min(server.endsAt, this.#now);
+    server.rebornAt = endsAt + this.#random() * REBORN_MS;
+  }
+
+  #startAgain(server: ScenarioServer): void {
+    server.startedAt = this.#now;
+    server.sequence = 0;
+    server.beatAt = -Infinity;
+    server.phase = ServerPhase.Active;
+    server.leftAt = Infinity;
+    server.endsAt = Infinity;
+    server.rebornAt = Infinity;
   }
 
   #expireFaults(): void {
@@ -190,7 +264,7 @@
 
   #startFault(): void {
     const { vms } = this.#world;
-    const kind = this.#pick(FAULT_KINDS);
+    const kind = this.#pick(this.#options.kinds);
     const forMs = 500 + this.#random() * 8_000;
     const hubs = this.#world.listHubs();
     const isHub = this.#random() < 0.5 && hubs.length > 0;
@@ -228,6 +302,24 @@
         this.#world.documents.removeHistory();
         this.#world.servers.removeHistory();
         return;
+      case FaultKind.CutOneWay:
+        return this.#cutOneWay(vm, forMs);
+      case FaultKind.PowerOff:
+        this.#cutVm(vm, forMs);
+        return this.#killVm(vm, forMs);
+      case FaultKind.SilentLinks:
+        vm.transport.setSilent();
+        // The users' bounds count this as a reset of all VMs' connections.
+        for (const { name } of vms) this.#recordDisturbed(name, 0);
+        return;
+      case FaultKind.PlannedStop:
+        return this.#stopVm(vm, forMs);
+      case FaultKind.SlowStore:
+        return this.#setStoreSlow(vm, forMs);
+      case FaultKind.LostAnswers:
+        return this.#setAnswersLost(vm, forMs);
+      case FaultKind.HeldUpdates:
+        return this.#holdUpdates();
     }
   }
 
@@ -238,6 +330,63 @@
     });
   }
 
+  #stopVm(vm: VirtualVm, downMs: number): void {
+    vm.isLeaving = true;
+    void vm.fleet.withdraw();
+    const stop = (): void => {
+      // Another fault may have ended it meanwhile.
+      if (this.#world.vms.includes(vm)) this.#killVm(vm, downMs);
+    };
+    this.#addFault(FaultKind.PlannedStop, vm, STOP_MS, stop);
+  }
+
+  #cutOneWay({ name }: VirtualVm, forMs: number): void {
+    const { network, vms } = this.#world;
+    const isOutward = this.#random() < 0.5;
+    for (const { name: other } of vms) {
+      if (this.#random() < 0.5) continue;
+      const [from, to] = isOutward ? [name, other] : [other, name];
+      network.cut(from, to);
+      const key = { name: `${from} ${to}` };
+      this.#addFault(FaultKind.CutOneWay, key, forMs, () => {
+        network.restore(from, to);
+      });
+      this.#recordDisturbed(other, forMs);
+    }
+    this.#recordDisturbed(name, forMs);
+  }
+
+  #setStoreSlow({ name }: VirtualVm, forMs: number): void {
+    const { documents, servers, directory } = this.#world;
+    const topics = [documents, servers, directory];
+    for (const topic of topics) topic.delays.set(name, SLOW_CALL_MS);
+    this.#addFault(FaultKind.SlowStore, { name }, forMs, () => {
+      for (const topic of topics) topic.delays.delete(name);
+    });
+  }
+
+  #setAnswersLost({ name }: VirtualVm, forMs: number): void {
+    const { documents, servers, directory } = this.#world;
+    const topics = [documents, servers, directory];
+    const isLost = (vm: string): boolean =>
+      vm === name && this.#random() < LOST_CALL_RATIO;
+    for (const topic of topics) topic.isLost = isLost;
+    this.#addFault(FaultKind.LostAnswers, { name }, forMs, () => {
+      for (const topic of topics) {
+        if (topic.isLost === isLost) topic.isLost = () => false;
+      }
+    });
+  }
+
+  #holdUpdates(): void {
+    const { documents, servers } = this.#world;
+    const topics = [documents, servers];
+    for (const topic of topics) topic.holdUpdates();
+    this.#addFault(FaultKind.HeldUpdates, { name: "" }, HOLD_MS, () => {
+      for (const topic of topics) topic.releaseUpdates();
+    });
+  }
+
   #cutFromStore({ name }: VirtualVm, forMs: number): void {
     const { documents, servers, directory } = this.#world;
     const topics = [documents, servers, directory];
@@ -288,10 +437,15 @@
     forMs: number,
     end: () => void,
   ): void {
+    this.#recordDisturbed(name, forMs);
     const endsAt = this.#now + forMs;
+    this.#faults.push({ key: `${kind} ${name}`, endsAt, end });
+  }
+
+  #recordDisturbed(name: string, forMs: number): void {
     const until = this.#disturbedUntil.get(name) ?? -Infinity;
+    const endsAt = this.#now + forMs;
     this.#disturbedUntil.set(name, Math.max(until, endsAt));
-    this.#faults.push({ key: `${kind} ${name}`, endsAt, end });
   }
 
   #pick<T>(items: readonly T[]): T {
