Hand a domain over when the store is silent to its hub alone

A hub that was cut off from the store without a word kept its domain for as long as that lasted. Its followers read the store themselves, each second anew in full, since their servers differed from the hub's.

Cause: a hub hands over when a call of its own fails that was made after the store had answered a follower. It compared that with the follower's newest read. A call without an answer fails 1.3 to 1.5 s after it was made, and a follower has always read since.

Change: the first read of a follower since the hub's own counts.

Evidence: "a hub that gets no answer of the store at all hands its domain over" (fleet_test.ts) fails without the change (run) and passes. "hubs stay hubs when the store is silent to all" passes with and without it.

--- a/src/services/fleet/exchange.ts
+++ b/src/services/fleet/exchange.ts
@@ -80,6 +80,7 @@
   readonly #domains = new Map<string, DomainView>();
   readonly #reportedLinks = new WeakSet<Link>();
   #serversDigest = 0;
+  #followerReadAt = -Infinity;
   #isFirstAsHub = true;
   /** All live VMs as the hub tells them; used by followers. */
   #toldVms: readonly LiveVm[] = [];
@@ -145,14 +146,28 @@
   isTurnedAway(): boolean {
     const lostAt = this.#confirmations?.getLostAt();
     if (lostAt === undefined) return false;
+    return this.#followerReadAt > this.#getReadAt() &&
+      this.#followerReadAt < lostAt;
+  }
+
+  /** Gets when this VM's newest answered reads of the store were asked for. */
+  #getReadAt(): number {
     const own = this.#confirmations?.getConfirmation();
-    const ownAt = Math.min(
+    return Math.min(
       own?.askedAt ?? -Infinity,
       own?.serversAskedAt ?? -Infinity,
     );
-    return [...this.#parts.links].some(({ kind, confirmedAt }) =>
-      kind === LinkKind.Follower && confirmedAt < lostAt && confirmedAt > ownAt
-    );
+  }
+
+  /**
+   * Records a follower's read of the store, if it is the first one since this
+   * VM's own. Later ones say less: a call of this VM that gets no answer fails
+   * long after it was made, and the follower has read again meanwhile.
+   */
+  #recordFollowerRead(readAt: number): void {
+    const ownAt = this.#getReadAt();
+    if (readAt <= ownAt || this.#followerReadAt > ownAt) return;
+    this.#followerReadAt = readAt;
   }
 
   #getConfirmedAgoMs(): number | undefined {
@@ -246,7 +261,7 @@
   applyStatus(status: Status, link: Link): void {
     const at = this.#parts.clock.now();
     link.status = { sentAt: status.sentAt, at };
-    link.confirmedAt = at - (status.confirmedAgoMs ?? Infinity);
+    this.#recordFollowerRead(at - (status.confirmedAgoMs ?? Infinity));
     this.#phases.set(link.vm.name, status.phase);
     this.#domainUsage.record(formatOrigin(link.vm), status.usage);
   }
--- a/src/services/fleet/link.ts
+++ b/src/services/fleet/link.ts
@@ -40,8 +40,6 @@
   sentVmsVersion = -1;
   /** Newest status of a follower: its `sentAt`, and when it arrived. */
   status: { readonly sentAt: number; readonly at: number } | undefined;
-  /** When the newest read that the store answered the other end was made. */
-  confirmedAt = -Infinity;
   readonly #connection: PeerConnection<FleetMessage>;
   readonly #sentUsage = new Map<string, Usage>();
   #sentLoad: LoadByServer = new Map<ServerId, number>();
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -182,17 +182,46 @@
   assert.ok(!world.listHubs().includes(hub));
 });
 
-test("hubs stay hubs when the store is away for all and comes back", async () => {
+// Guards against a hub that is cut off from the store alone and stays the hub.
+test("a hub that gets no answer of the store at all hands its domain over", async () => {
   const world = await createWorld();
-  const hubs = world.listHubs().map(({ name }) => name);
-  for (let ms = 0; ms < 2 * SETTLE_MS; ms += 100) {
-    const isAway = ms < SETTLE_MS;
+  const [hub] = world.listHubs();
+  if (hub === undefined) throw new Error("there is no hub");
+  world.documents.silenced.add(hub.name);
+  world.servers.silenced.add(hub.name);
+  await world.time.advance(SETTLE_MS);
+  const domains = world.listHubs().map((vm) => vm.fleet.self.failureDomain);
+  assert.deepEqual(domains.toSorted(), DOMAINS);
+  assert.ok(!world.listHubs().includes(hub));
+});
+
+/** Ways in which the store is away for all. */
+const OUTAGES: Record<string, (world: World, isAway: boolean) => void> = {
+  "refuses all": (world, isAway) => {
     world.documents.isDown = isAway;
     world.servers.isDown = isAway;
-    await world.time.advance(100);
-    assert.deepEqual(world.listHubs().map(({ name }) => name), hubs);
-  }
-});
+  },
+  "is silent to all": (world, isAway) => {
+    for (const { name } of world.vms) {
+      for (const topic of [world.documents, world.servers]) {
+        if (isAway) topic.silenced.add(name);
+        else topic.silenced.delete(name);
+      }
+    }
+  },
+};
+
+for (const [outage, apply] of Object.entries(OUTAGES)) {
+  test(`hubs stay hubs when the store ${outage} and comes back`, async () => {
+    const world = await createWorld();
+    const hubs = world.listHubs().map(({ name }) => name);
+    for (let ms = 0; ms < 2 * SETTLE_MS; ms += 100) {
+      apply(world, ms < SETTLE_MS);
+      await world.time.advance(100);
+      assert.deepEqual(world.listHubs().map(({ name }) => name), hubs);
+    }
+  });
+}
 
 test("a configuration is in force on all VMs within the bound", async () => {
   const world = await createWorld();
