Let a third of the soak's callers keep to their open connections

The soak's callers asked for addresses each second and went to another VM at once, so nobody used a connection to a VM that leaves until its end. Every third caller now stays with its VM as long as its connection is open.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -47,6 +47,8 @@
   /** Mean time between two requests, in milliseconds. */
   readonly gapMs: number;
   readonly name: string;
+  /** Whether it uses an open connection for as long as there is one. */
+  readonly keepsConnection: boolean;
 }
 
 /** Sends requests until the signal aborts; returns all records. */
@@ -54,17 +56,21 @@
   options: CallerOptions,
   signal: AbortSignal,
 ): Promise<CallerRecord[]> {
-  const { fleet, random, gapMs, name } = options;
+  const { fleet, random, gapMs, name, keepsConnection } = options;
   const records: CallerRecord[] = [];
   const agents = new Map<PlatformVm, http.Agent>();
   let vms: readonly PlatformVm[] = fleet.vms;
   let askedAt = -Infinity;
+  let used: PlatformVm | undefined;
   for (let count = 0; !signal.aborted; count += 1) {
     if (performance.now() - askedAt > ADDRESS_TTL_MS) {
       askedAt = performance.now();
       vms = await findVms(fleet, random) ?? vms;
     }
-    const vm = pickOne(vms, random);
+    const isKept = keepsConnection && used !== undefined &&
+      hasOpenConnection(agents.get(used));
+    const vm = isKept && used !== undefined ? used : pickOne(vms, random);
+    used = vm;
     const agent = agents.get(vm) ?? new http.Agent({ keepAlive: true });
     agents.set(vm, agent);
     records.push(
@@ -76,6 +82,11 @@
   return records;
 }
 
+function hasOpenConnection(agent: http.Agent | undefined): boolean {
+  const sockets = Object.values(agent?.freeSockets ?? {}).flat();
+  return sockets.some((socket) => socket !== undefined && !socket.destroyed);
+}
+
 async function sendOne(
   { random, pickKey }: CallerOptions,
   id: string,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -32,6 +32,8 @@
 /** Rate and burst in five seconds, a tenth more, and twenty requests. */
 const LIMIT_WINDOW = (LIMIT.ratePerS * 5 + LIMIT.burst) * 1.1 + 20;
 const RECOVERED_REQUESTS = 20;
+/** Each such caller uses its open connection until that is closed. */
+const KEEPING_EVERY = 3;
 /** Apart from the faults' seed, so that those of earlier seeds stay as they were. */
 const LEAVES_SEED = 1_000_000;
 
@@ -81,6 +83,7 @@
           pickKey: () => pickOne(KEYS, random),
           gapMs: 60,
           name: `c${index}`,
+          keepsConnection: index % KEEPING_EVERY === 0,
         }, ended.signal),
     );
     const faultRecords: FaultRecord[] = [];
