Reckon with second attempts that others make while a domain has no hub

More second attempts than the share could be made while hubs change and all requests fail.

A VM now reckons that they went on as in the window before.

--- a/src/services/forwarding/fleet_retry_budget.ts
+++ b/src/services/forwarding/fleet_retry_budget.ts
@@ -119,6 +119,7 @@
 
   recordOthers(others: readonly Usage[], isFirst: boolean): void {
     const now = this.#parts.clock.now();
+    if (isFirst) this.#recordUnheard(now);
     this.#heardAt = now;
     for (const grown of this.#growth.listGrowth(others, isFirst)) {
       const counts = this.#getCounts(grown.name);
@@ -127,6 +128,18 @@
     }
   }
 
+  /** Reckons that the others went on as before while no hub told of them. */
+  #recordUnheard(now: number): void {
+    const unheardMs = now - this.#heardAt;
+    if (unheardMs > this.#parts.windowMs) return;
+    for (const counts of this.#services.values()) {
+      for (const others of [counts.othersAttempts, counts.othersRequests]) {
+        const perMs = others.getTotal(now) / this.#parts.windowMs;
+        others.add(perMs * unheardMs, now);
+      }
+    }
+  }
+
   /**
    * Whether this VM may make one more second attempt.
    *
--- a/src/services/forwarding/fleet_retry_budget_test.ts
+++ b/src/services/forwarding/fleet_retry_budget_test.ts
@@ -12,6 +12,10 @@
 const RATIO = 0.2;
 const SLACK = 56;
 const VMS = 32;
+/** Failure domains, each with a hub. */
+const DOMAINS = 3;
+/** Reports that a domain misses when its hub falls silent: 0.9 s. */
+const HUB_PAUSE_REPORTS = 4;
 const SCOPE = { service: "rota", team: "", priority: 1 };
 const LESS_URGENT = { ...SCOPE, priority: 2 };
 
@@ -24,6 +28,8 @@
   readonly getNeed: (ms: number, vm: number) => number;
   /** When all VMs are killed and started again; undefined for never. */
   readonly restartAt?: number;
+  /** Time between two losses of a hub; undefined for none. */
+  readonly hubLossMs?: number;
 }
 
 interface Result {
@@ -57,7 +63,8 @@
   let now = 0;
   const random = createSeededRandom(load.seed);
   let budgets = createBudgets(createClock(() => now));
-  let exchange = new UsageExchange(budgets);
+  let exchange = new UsageExchange(budgets, DOMAINS);
+  let losses = 0;
   const requestedAt: number[] = [];
   const repeatedAt: number[] = [];
   let needed = 0;
@@ -65,7 +72,11 @@
   for (; now < load.seconds * 1_000; now += STEP_MS) {
     if (now === load.restartAt) {
       budgets = createBudgets(createClock(() => now));
-      exchange = new UsageExchange(budgets);
+      exchange = new UsageExchange(budgets, DOMAINS);
+    }
+    if (now > 0 && now % (load.hubLossMs ?? Infinity) === 0) {
+      exchange.replaceHub(losses, HUB_PAUSE_REPORTS);
+      losses += 1;
     }
     if (now % REPORT_MS === 0) exchange.sendReports();
     const count = Math.floor(load.perSecond * STEP_MS / 1_000 + random());
@@ -121,6 +132,20 @@
     }
   });
 
+  // Guards against second attempts that a new hub begins after.
+  test(`rolling replacement: hubs change while everything fails (seed ${seed})`, () => {
+    for (const perSecond of [30, 120]) {
+      const { worstExcess } = runLoad({
+        seed,
+        seconds: 30,
+        perSecond,
+        getNeed: (ms) => ms < 8_000 ? 0.02 : 1,
+        hubLossMs: 2_000,
+      });
+      assert.ok(worstExcess <= 0, `${worstExcess} too many at ${perSecond}`);
+    }
+  });
+
   test(`everything fails at once: all VMs stay within the share (seed ${seed})`, () => {
     for (const perSecond of [5, 30, 120]) {
       const { worstExcess } = runLoad({
