Move the pace at which a hub looks for another one to a file of its own

When a hub looks for another one, and for how long one that was turned away ranks last, is now the job of `HubWatch` (hub_watch.ts).

--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -9,6 +9,7 @@
 import type { VmDirectory } from "./directory.ts";
 import { Exchange } from "./exchange.ts";
 import type { ConfirmationSource, UsageSource } from "./exchange.ts";
+import { HubWatch } from "./hub_watch.ts";
 import {
   isHubRole,
   Link,
@@ -58,21 +59,6 @@
 const SILENCE_LIMIT_MS = 1_500;
 /** The same for the hub, whose reports come more often. */
 const HUB_SILENCE_LIMIT_MS = 900;
-/**
- * Time from becoming the hub to the first look for one that ranks before this
- * VM. VMs that lose their hub together ask each other while none is the next
- * one yet; a look costs a round trip and a slow VM's turn.
- */
-const HUB_CHECK_MIN_MS = 100;
-/** Time between two such looks later; it doubles up to here. */
-const HUB_CHECK_MAX_MS = 2_000;
-/**
- * Time for which a hub that the store has turned away ranks behind all others of
- * its domain, in milliseconds; such troubles of the store last some seconds.
- */
-const YIELD_MS = 10_000;
-/** Time between two looks for the VM that has taken the domain over. */
-const HEIR_CHECK_MS = 200;
 /** Time after its start in which a VM hears of all others by way of the hubs. */
 const SETTLE_MS = 3_000;
 /** Time between two looks whether the directory was asked. */
@@ -117,17 +103,13 @@
   readonly #loads: LoadReports;
   readonly #startedAt: number;
   #role = FleetRole.Searching;
-  /** Until when any other VM of the domain ranks before this one. */
-  #yieldsUntil = -Infinity;
-  /** Time of a hub's next sleep between two looks for another one. */
-  #hubCheckMs = HUB_CHECK_MIN_MS;
-  /** Ends that sleep. */
-  #woken = new AbortController();
+  readonly #watch: HubWatch;
 
   /** Creates a fleet of this VM alone. */
   constructor(parts: FleetParts) {
     this.#parts = parts;
     this.#startedAt = parts.clock.now();
+    this.#watch = new HubWatch(parts.clock);
     this.#list.add(parts.self);
     const list = this.#list;
     const isHub = (): boolean => isHubRole(this.#role);
@@ -139,7 +121,7 @@
       createHello,
       recordChange: () => {
         this.#sendVmsKnown();
-        this.#checkHubNow();
+        this.#watch.checkNow();
       },
     });
     this.#dialer = new Dialer({ ...parts, list, createHello });
@@ -263,15 +245,15 @@
       }
       const candidates = this.#listCandidates();
       const hub = await this.#openFirst(candidates, LinkKind.Uplink, signal);
-      if (hub === undefined && clock.now() < this.#yieldsUntil) {
+      if (hub === undefined && this.#watch.isYielding) {
         // Another VM takes the domain over as soon as this one is none.
         this.#setRole(FleetRole.Searching);
-        await clock.sleep(HEIR_CHECK_MS, signal);
+        await this.#watch.sleepAsFormerHub(signal);
         continue;
       }
       if (hub === undefined) {
         this.#setRole(FleetRole.Hub);
-        await this.#sleepAsHub(signal);
+        await this.#watch.sleepAsHub(signal);
         continue;
       }
       this.#setRole(FleetRole.Follower);
@@ -290,7 +272,7 @@
       const isDomainDue = now - domainAt >= DOMAIN_INTERVAL_MS;
       if (isDomainDue) domainAt = now;
       this.#exchange.recordOwn();
-      this.#checkTurnedAway(now);
+      this.#checkTurnedAway();
       for (const link of this.#links) this.#sendBeat(link, isDomainDue, now);
       if (isHubRole(this.#getToldRole())) this.#connectDomains(signal);
       await clock.sleep(STATUS_INTERVAL_MS, signal);
@@ -315,38 +297,23 @@
     }
   }
 
-  async #sleepAsHub(signal: AbortSignal): Promise<void> {
-    const ms = this.#hubCheckMs;
-    this.#hubCheckMs = Math.min(HUB_CHECK_MAX_MS, 2 * ms);
-    this.#woken = new AbortController();
-    const woken = AbortSignal.any([signal, this.#woken.signal]);
-    await this.#parts.clock.sleep(ms, woken);
-  }
-
-  /** Lets a hub look at once whether another VM is to be the hub. */
-  #checkHubNow(): void {
-    this.#hubCheckMs = HUB_CHECK_MIN_MS;
-    this.#woken.abort();
-  }
-
   #listCandidates(): VmEntry[] {
     const { self, clock } = this.#parts;
     const now = clock.now();
-    const before = now < this.#yieldsUntil ? undefined : self;
+    const before = this.#watch.isYielding ? undefined : self;
     return this.#list.listCandidates(self.failureDomain, now, before)
       .filter(({ name }) => name !== self.name);
   }
 
   /** Hands the domain over when the store answers a follower, but not this VM. */
-  #checkTurnedAway(now: number): void {
+  #checkTurnedAway(): void {
     if (!isHubRole(this.#role)) return;
     if (!this.#exchange.isTurnedAway()) return;
     this.#parts.logger.warn("hands its domain over; the store turns it away", {
       links: this.#links.size,
     });
-    this.#yieldsUntil = now + YIELD_MS;
+    this.#watch.startYielding();
     this.#setRole(FleetRole.Searching);
-    this.#checkHubNow();
   }
 
   #sendBeat(link: Link, isDomainDue: boolean, now: number): void {
@@ -543,7 +510,7 @@
       earlier: this.#role,
     });
     this.#role = role;
-    this.#hubCheckMs = HUB_CHECK_MIN_MS;
+    this.#watch.checkNow();
     for (const link of this.#links) {
       if (link.kind !== LinkKind.Uplink) link.send(this.#createAlive());
     }
