Forget failed calls to the store once a hub reads it instead

A hub that the store had turned away gave its domain away again at the moment it got it back, long after the trouble had ended: its VMs were without a hub once more, each time within a beat of its start.

Cause: the time of the newest failed call was kept while the VM followed another hub and made no calls. Together with a read that a follower had made in the same trouble it looked as if the store turned this VM away now.

Class: knowledge without an age; found by reading the change in. The code before had it, too.

Change: a VM that leaves a stream to its hub forgets the calls that failed.

--- a/src/services/feed/relay.ts
+++ b/src/services/feed/relay.ts
@@ -137,6 +137,11 @@
     else this.#lostAt.set(stream, askedAt);
   }
 
+  /** Records that a stream is left to the hub; older calls tell nothing then. */
+  recordIdle(stream: FeedStream): void {
+    this.#lostAt.delete(stream);
+  }
+
   getLostAt(): number | undefined {
     if (this.#lostAt.size === 0) return undefined;
     return Math.max(...this.#lostAt.values());
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -251,6 +251,37 @@
   assert.ok(!world.listHubs().includes(hub));
 });
 
+// Guards against a trouble of long ago that takes a domain from its new hub.
+test("a hub that the store turned away long ago keeps the domain it gets again", async () => {
+  for (let offsetMs = 0; offsetMs < REPORT_MS; offsetMs += SLOW_MS) {
+    await checkKeepsDomain(offsetMs);
+  }
+});
+
+/** `offsetMs` is how long after a beat the hub between them dies. */
+async function checkKeepsDomain(offsetMs: number): Promise<void> {
+  const world = await createWorld();
+  const [hub] = world.listHubs();
+  if (hub === undefined) throw new Error("there is no hub");
+  const topics = [world.documents, world.servers];
+  for (const topic of topics) topic.turnedAway.add(hub.name);
+  await world.time.advance(SETTLE_MS);
+  for (const topic of topics) topic.turnedAway.delete(hub.name);
+  // Longer than it ranks behind all others.
+  await world.time.advance(2 * SETTLE_MS + offsetMs);
+  const { failureDomain } = hub.fleet.self;
+  const heir = world.listHubs()
+    .find((vm) => vm.fleet.self.failureDomain === failureDomain);
+  if (heir === undefined || heir === hub) throw new Error("there is no heir");
+  world.killVm(heir);
+  const before = world.lines.length;
+  await world.time.advance(SETTLE_MS);
+  const handovers = world.lines.slice(before)
+    .filter(({ message }) => message.startsWith("hands its domain over"));
+  assert.deepEqual(handovers, []);
+  assert.ok(world.listHubs().includes(hub));
+}
+
 /** Ways in which the store is away for all. */
 const OUTAGES: Record<string, (world: World, isAway: boolean) => void> = {
   "refuses all": (world, isAway) => {
