Excuse vanished servers by an outage that has just ended, not by an old one

Callers' requests could reach a server for 0.2 s too long, at a VM that had lost the store once, however long before, and reads it again since its hub has died, if at least half of the service's servers leave at that time.

Cause: a VM that stopped reading the store because its hub read it again kept the count of its failed reads. Its next read, at any time later, then looked like the end of an outage, after which vanished entries have 2.2 s to come back.

Change: the count begins anew when the hub reads the store.

Evidence: "a server's leaving is known in time by a VM that once lost the store" (fleet_test.ts) fails without the change (run) and passes.

--- a/src/services/feed/mod.ts
+++ b/src/services/feed/mod.ts
@@ -79,6 +79,7 @@
     while (!signal.aborted) {
       if (!relay.isReader()) {
         position = undefined;
+        failures = 0;
         relay.recordIdle(FeedStream.Configurations);
         await clock.sleep(FOLLOW_PAUSE_MS, signal);
         continue;
@@ -118,6 +119,7 @@
       if (isReread) position = undefined;
       if (!isReread && !relay.isReader()) {
         position = undefined;
+        failures = 0;
         relay.recordIdle(FeedStream.Servers);
         await clock.sleep(FOLLOW_PAUSE_MS, signal);
         continue;
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -20,6 +20,8 @@
 const STEP_MS = 10;
 /** Time for which a VM with little of a core does not run, in milliseconds. */
 const SLOW_MS = 50;
+/** Time after which followers of a silent hub read the store, and a margin. */
+const OUTAGE_MS = 2_000;
 /** Time between two reports of a hub. */
 const REPORT_MS = 250;
 
@@ -402,6 +404,32 @@
 });
 
 // Guards against older knowledge of another VM that replaces newer knowledge.
+// Guards against an outage of long ago that excuses entries that vanish now.
+test("a server's leaving is known in time by a VM that once lost the store", async () => {
+  const world = await createWorld();
+  for (const id of ["s1", "s2"]) world.announceServer(id, ServerPhase.Active);
+  const [hub] = world.listHubs();
+  const vm = world.vms.find(({ fleet }) =>
+    fleet.self.failureDomain === hub?.fleet.self.failureDomain &&
+    fleet.role === FleetRole.Follower
+  );
+  if (hub === undefined || vm === undefined) throw new Error("there is no hub");
+  const topics = [world.documents, world.servers];
+  for (const topic of topics) {
+    topic.silenced.add(hub.name);
+    topic.turnedAway.add(vm.name);
+  }
+  await world.time.advance(OUTAGE_MS);
+  for (const topic of topics) topic.silenced.delete(hub.name);
+  await world.time.advance(OUTAGE_MS);
+  for (const topic of topics) topic.turnedAway.delete(vm.name);
+  await world.time.advance(SETTLE_MS);
+  for (const other of world.listHubs()) world.killVm(other);
+  world.announceServer("s1", undefined);
+  await world.time.advance(DRAIN_MS);
+  assert.equal(vm.configuration.state.servers.has("s1"), false);
+});
+
 test("a hub that is behind brings no server back that is gone", async () => {
   const world = await createWorld();
   // Heartbeats, of which a hub alone learns.
