Hand a domain over only for reads made since this VM became its hub

A VM that became the hub while the store was away for all gave the domain away at once, and so did the next ones: the VMs lost their hub again and again in an outage, and with it the counts of each other.

Cause: reads that followers had made in an earlier trouble counted as if the store had answered them just before it turned this VM away.

Change: only what followers read since this VM became the hub counts.

Evidence: "a VM that becomes the hub while the store is away for all stays the hub" (fleet_test.ts) fails without the change (run) and passes. Tests of the fleet, the feed and leaving servers: 49 pass.

--- a/src/services/fleet/exchange.ts
+++ b/src/services/fleet/exchange.ts
@@ -81,6 +81,8 @@
   readonly #reportedLinks = new WeakSet<Link>();
   #serversDigest = 0;
   #followerReadAt = -Infinity;
+  /** When this VM became the hub; infinite while it is none. */
+  #hubSince = Infinity;
   #isFirstAsHub = true;
   /** All live VMs as the hub tells them; used by followers. */
   #toldVms: readonly LiveVm[] = [];
@@ -135,7 +137,8 @@
 
   /** Takes note of this VM's own counts and of who lives, before a beat. */
   recordOwn(): void {
-    const { self } = this.#parts;
+    const { self, clock, isHub } = this.#parts;
+    this.#hubSince = isHub() ? Math.min(this.#hubSince, clock.now()) : Infinity;
     this.#updateVmsVersion();
     this.#serversDigest = this.getKnown().serversDigest;
     this.#domainUsage.record(formatOrigin(self), this.#listUsage());
@@ -150,13 +153,17 @@
       this.#followerReadAt < lostAt;
   }
 
-  /** Gets when this VM's newest answered reads of the store were asked for. */
+  /**
+   * Gets when this VM's newest answered reads of the store were asked for, or
+   * when it became the hub; as a follower it did not try.
+   */
   #getReadAt(): number {
     const own = this.#confirmations?.getConfirmation();
-    return Math.min(
+    const readAt = Math.min(
       own?.askedAt ?? -Infinity,
       own?.serversAskedAt ?? -Infinity,
     );
+    return Math.max(readAt, this.#hubSince);
   }
 
   /**
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -284,6 +284,27 @@
   assert.ok(world.listHubs().includes(hub));
 }
 
+// Guards against reads of long ago that make an outage look like a hub's own.
+test("a VM that becomes the hub while the store is away for all stays the hub", async () => {
+  const world = await createWorld();
+  const topics = [world.documents, world.servers];
+  const hubs = world.listHubs();
+  // All followers read the store themselves for a while.
+  for (const topic of topics) {
+    for (const { name } of hubs) topic.silenced.add(name);
+  }
+  await world.time.advance(OUTAGE_MS);
+  for (const topic of topics) topic.silenced.clear();
+  await world.time.advance(SETTLE_MS);
+  for (const topic of topics) topic.isDown = true;
+  for (const hub of world.listHubs()) world.killVm(hub);
+  const before = world.lines.length;
+  await world.time.advance(SETTLE_MS);
+  const handovers = world.lines.slice(before)
+    .filter(({ message }) => message.startsWith("hands its domain over"));
+  assert.deepEqual(handovers, []);
+});
+
 /** Ways in which the store is away for all. */
 const OUTAGES: Record<string, (world: World, isAway: boolean) => void> = {
   "refuses all": (world, isAway) => {
