--- a/src/services/caller_front/mod.ts
+++ b/src/services/caller_front/mod.ts
@@ -132,6 +132,11 @@
           plan,
         );
       case LimitKind.Within: {
+        this.#parts.logger.info("admitted a request", {
+          request: exchange.head.attempt ?? "",
+          team: team.id,
+          ...decision.inputs,
+        });
         const run = await this.#forward(exchange, plan);
         if (run === RunState.NotRun) decision.giveBack();
       }
--- a/src/services/quota/mod.ts
+++ b/src/services/quota/mod.ts
@@ -86,24 +86,26 @@
       heardMs: now - this.#heardAt,
     };
     const decision = entry.bucket.take(limits, view, now);
+    const inputs = {
+      ratePerSecond: limits.ratePerSecond,
+      burst: limits.burst,
+      tokens: Math.round(decision.level),
+      share: Number(decision.share.toFixed(3)),
+      vms: view.vms,
+      heardAgoMs: Math.round(view.heardMs),
+    };
     switch (decision.kind) {
       case BucketDecisionKind.Refused:
         return {
           kind: LimitKind.Over,
           retryAfterMs: decision.retryAfterMs,
-          inputs: {
-            ratePerSecond: limits.ratePerSecond,
-            burst: limits.burst,
-            tokens: Math.round(decision.level),
-            share: Number(decision.share.toFixed(3)),
-            vms: view.vms,
-            heardAgoMs: Math.round(view.heardMs),
-          },
+          inputs,
         };
       case BucketDecisionKind.Admitted:
         entry.admitted += 1;
         return {
           kind: LimitKind.Within,
+          inputs: { ...inputs, hasPart: decision.hasPart },
           giveBack: () => {
             entry.admitted -= 1;
             entry.bucket.giveBack(limits);
--- a/src/services/quota/team_bucket.ts
+++ b/src/services/quota/team_bucket.ts
@@ -30,7 +30,14 @@
 
 /** Whether one more request is admitted, and what decided it. */
 export type BucketDecision =
-  | { readonly kind: BucketDecisionKind.Admitted }
+  | {
+    readonly kind: BucketDecisionKind.Admitted;
+    /** Tokens that were left before, and this VM's part of the rate. */
+    readonly level: number;
+    readonly share: number;
+    /** Whether it was within this VM's part of what was left. */
+    readonly hasPart: boolean;
+  }
   | {
     readonly kind: BucketDecisionKind.Refused;
     readonly retryAfterMs: number;
@@ -130,10 +137,11 @@
     if (!hasPart && this.#shareTokens < 1) {
       return this.#refuse(limits, share);
     }
+    const level = this.#level;
     this.#level -= 1;
     this.#unheardOwn += 1;
     if (!hasPart) this.#shareTokens -= 1;
-    return { kind: BucketDecisionKind.Admitted };
+    return { kind: BucketDecisionKind.Admitted, level, share, hasPart };
   }
 
   /**
--- a/src/services/quota/team_limiter.ts
+++ b/src/services/quota/team_limiter.ts
@@ -17,6 +17,8 @@
     readonly kind: LimitKind.Within;
     /** Gives the token back; for a request that was not run. */
     readonly giveBack: () => void;
+    /** What decided it, for the log. */
+    readonly inputs?: LogFields;
   }
   | {
     readonly kind: LimitKind.Over;
