--- a/standins/memory_network.ts
+++ b/standins/memory_network.ts
@@ -24,6 +24,8 @@
   readonly options: NetworkOptions<Message>;
   readonly #transports = new Map<string, MemoryTransport<Message>>();
   readonly #cuts = new Set<string>();
+  /** Further time that each message takes, in milliseconds. */
+  lateMs = 0;
 
   /** Creates a network without VMs. */
   constructor(time: VirtualTime, options: NetworkOptions<Message>) {
@@ -135,6 +137,8 @@
 class MemoryConnection<Message> implements PeerConnection<Message> {
   remote: MemoryConnection<Message> | undefined;
   #isSilent = false;
+  /** When the newest message arrives; none overtakes another. */
+  #lastAt = 0;
   readonly #transport: MemoryTransport<Message>;
   readonly #received = new Channel<Message>();
 
@@ -153,7 +157,10 @@
       traffic.sentBytes += bytes;
       remote.#transport.traffic.receivedBytes += bytes;
     }
-    network.time.startTimer(network.options.latencyMs, () => {
+    const transitMs = network.options.latencyMs + network.lateMs;
+    const arrivesAt = Math.max(network.time.now + transitMs, this.#lastAt);
+    this.#lastAt = arrivesAt;
+    network.time.startTimer(arrivesAt - network.time.now, () => {
       if (!this.#isHeardBy(remote)) return;
       remote.#transport.clock.runAwake(() => {
         const isOpen = remote.#received.send(message);
--- a/tests/feed_world.ts
+++ b/tests/feed_world.ts
@@ -2,8 +2,8 @@
 import { MemoryNetwork } from "../standins/memory_network.ts";
 import type { MemoryTransport } from "../standins/memory_network.ts";
 import { VirtualClock, VirtualTime } from "../standins/virtual_clock.ts";
-import { ServerPhase, VmPhase } from "../src/model/mod.ts";
-import type { ConfigurationDocument } from "../src/model/mod.ts";
+import { PresetName, ServerPhase, VmPhase } from "../src/model/mod.ts";
+import type { ConfigurationDocument, Preset, Team } from "../src/model/mod.ts";
 import { Configuration } from "../src/services/configuration/mod.ts";
 import { Feed } from "../src/services/feed/mod.ts";
 import { FeedRelay } from "../src/services/feed/relay.ts";
@@ -25,6 +25,7 @@
   Fleet,
   FleetMessageKind,
   FleetRole,
+  UsageKind,
   VmUpdateKind,
 } from "../src/services/fleet/mod.ts";
 import type {
@@ -35,6 +36,8 @@
 import { Confirmations } from "../src/services/freshness/confirmations.ts";
 import type { Logger } from "../src/services/logging/mod.ts";
 import { Metrics } from "../src/services/metrics/mod.ts";
+import { Quota } from "../src/services/quota/mod.ts";
+import type { TeamLimiter } from "../src/services/quota/team_limiter.ts";
 import { createSeededRandom } from "../src/services/random/mod.ts";
 import type { LoadExchange } from "../src/services/selection/load_exchange.ts";
 
@@ -189,6 +192,7 @@
   readonly freshness: Confirmations;
   readonly registry: ServerRegistry;
   readonly loads: LoadExchange;
+  readonly limiter: TeamLimiter;
   readonly stop: AbortController;
   /** Whether it has been told to stop as planned. */
   isLeaving: boolean;
@@ -219,6 +223,15 @@
   };
 }
 
+/** The preset of all days that are neither a peak nor maintenance. */
+export const ORDINARY: Preset = {
+  name: PresetName.Ordinary,
+  rateFactor: 1,
+  deadlineFactor: 1,
+  retries: true,
+  revision: 0,
+};
+
 /** A line that a VM wrote. */
 export interface LogLine {
   readonly at: number;
@@ -257,6 +270,14 @@
     isDrop: (update) => update.kind === ServerUpdateKind.Removed,
   });
   readonly vms: VirtualVm[] = [];
+  /** The one team whose requests are limited. */
+  team: Team = {
+    id: "team",
+    cell: "cell",
+    ratePerSecond: 60,
+    burst: 60,
+    revision: 0,
+  };
   /** Lines that the VMs have written, for a test that fails to show. */
   readonly lines: LogLine[] = [];
   #starts = 0;
@@ -323,6 +344,7 @@
       freshness,
       registry,
       loads,
+      limiter: this.#createLimiter(fleet, clock),
       stop,
       isLeaving: false,
     };
@@ -389,6 +411,16 @@
     return { debug: write, info: write, warn: write, error: write };
   }
 
+  #createLimiter(fleet: Fleet, clock: VirtualClock): TeamLimiter {
+    const quota = new Quota({
+      clock,
+      countVms: () => fleet.countVms(),
+      findLimits: () => this.team,
+    });
+    fleet.setUsageSource(UsageKind.Team, quota);
+    return quota;
+  }
+
   #createDirectory(name: string, clock: VirtualClock): VmDirectory {
     return {
       ...this.directory.createSource(name, clock),
@@ -406,12 +438,14 @@
   }
 }
 
-/** Creates a world of five VMs a domain that have settled. */
-export async function createWorld(): Promise<World> {
+/** Creates a world of VMs that have settled, some in each domain. */
+export async function createWorld(
+  vmsPerDomain = VMS_PER_DOMAIN,
+): Promise<World> {
   const world = new World();
   world.publish(1);
   for (const domain of DOMAINS) {
-    for (let index = 0; index < VMS_PER_DOMAIN; index += 1) {
+    for (let index = 0; index < vmsPerDomain; index += 1) {
       world.startVm(`${domain}${index}`);
     }
   }
