Set tokens of teams aside before they are spent

Callers of a team got more than its rate and burst: after kills of many VMs, beside VMs that were cut off, and without bound where VMs heard each other late. Cause: each VM kept a replica of the team's bucket and subtracted what it heard of the others. What a killed VM admitted since its report, what a hub's sums forgot and what came late was guessed, and a restarted VM took its bucket for full. The class is a limit that is held by estimates of what others do: the bound rests on messages being on time.

Now each VM's time stands for an equal part of the rate. It is made into tokens once, by the VM or by the hub that it leaves that time to with each status. Tokens move by messages that their sender has paid for; a hub has room for the parts of the followers that it hears alone, less what is on its way, lent or held ready. Counts and REPORT_AGE_MS are gone for teams. A token that is lost with a VM or on its way is lost to the team.

The tests of quota_test.ts that need a fleet play in tests/quota_fleet_test.ts now, with real hubs, the same loads and the same bounds; a hub that falls silent is a frozen one there, for 1.5 s.

--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -15,6 +15,7 @@
 import { createFleetExchange } from "../../services/fleet/evidence.ts";
 import { createFleetLoads } from "../../services/fleet/loads.ts";
 import { Fleet, UsageKind } from "../../services/fleet/mod.ts";
+import { createFleetTokens } from "../../services/fleet/tokens.ts";
 import { DetectionPolicy } from "../../services/detector/mod.ts";
 import { FleetRetryBudget } from "../../services/forwarding/fleet_retry_budget.ts";
 import { Confirmations } from "../../services/freshness/confirmations.ts";
@@ -202,19 +203,18 @@
     name: ServiceName.Quota,
     needs: [ServiceName.Clock, ServiceName.Configuration, ServiceName.Fleet],
     create: (find) => {
+      const clock = find(ServiceName.Clock);
       const fleet = find(ServiceName.Fleet);
       const configuration = find(ServiceName.Configuration);
-      const quota = new Quota({
-        clock: find(ServiceName.Clock),
-        countVms: () => fleet.countVms(),
+      return new Quota({
+        clock,
+        exchange: createFleetTokens(fleet, clock),
         findLimits: (id) => {
           const { state } = configuration;
           const team = state.teams.get(id);
           return team && resolveLimits(team, state.getPreset());
         },
       });
-      fleet.setUsageSource(UsageKind.Team, quota);
-      return quota;
     },
   }));
   kernel.add(createServiceDefinition({
--- a/src/protocols/fleet/message_codec.ts
+++ b/src/protocols/fleet/message_codec.ts
@@ -80,6 +80,18 @@
   startedAt: z.number(),
   sequence: z.int(),
 });
+const tokenAsk = z.object({
+  team: name,
+  count: z.number().min(0),
+  spare: count,
+  id: count,
+});
+const tokenGrant = z.object({
+  team: name,
+  count: z.number().min(0),
+  id: count,
+  waitMs: z.number().min(0),
+});
 
 const messageSchema = z.discriminatedUnion("kind", [
   z.object({
@@ -95,6 +107,7 @@
     phase: z.enum(VmPhase),
     confirmedAgoMs: z.number().min(0).optional(),
     usage: usages,
+    leftMs: z.number().min(0),
   }),
   z.object({
     kind: z.literal(FleetMessageKind.Report),
@@ -129,6 +142,15 @@
     kind: z.literal(FleetMessageKind.ServerRemoved),
     server: goneServer,
   }),
+  z.object({
+    kind: z.literal(FleetMessageKind.TokenAsk),
+    ask: tokenAsk,
+  }),
+  z.object({
+    kind: z.literal(FleetMessageKind.TokenGrant),
+    grant: tokenGrant,
+  }),
+  z.object({ kind: z.literal(FleetMessageKind.TokenReturned), team: name }),
 ]);
 
 /** The codec of the fleet's messages. */
@@ -194,6 +216,9 @@
     case FleetMessageKind.Servers:
     case FleetMessageKind.ServerSet:
     case FleetMessageKind.ServerRemoved:
+    case FleetMessageKind.TokenAsk:
+    case FleetMessageKind.TokenGrant:
+    case FleetMessageKind.TokenReturned:
       return message;
   }
 }
--- a/src/services/fleet/exchange.ts
+++ b/src/services/fleet/exchange.ts
@@ -28,6 +28,16 @@
   recordOthers(others: readonly Usage[], isFirst: boolean): void;
 }
 
+/** Counts the time whose tokens VMs leave to their hub. */
+export interface ElapsedTimeSource {
+  /** Takes note that time passes. */
+  recordBeat(): void;
+  /** Takes this VM's time since the last call, in milliseconds. */
+  takeElapsed(): number;
+  /** Adds the time that a follower has left, in milliseconds. */
+  addElapsed(ms: number): void;
+}
+
 /** How old this VM's knowledge is; times are monotonic, in milliseconds. */
 export interface Confirmation {
   /** When the newest read that confirmed the configuration was asked for. */
@@ -92,6 +102,7 @@
   #getPhase: () => VmPhase = () => VmPhase.Starting;
   readonly #usage = new Map<UsageKind, UsageSource>();
   #confirmations: ConfirmationSource | undefined;
+  #elapsedTime: ElapsedTimeSource | undefined;
 
   /** Creates an exchange of this VM alone. */
   constructor(parts: ExchangeParts) {
@@ -113,6 +124,11 @@
     this.#usage.set(kind, source);
   }
 
+  /** Sets who counts the time that VMs leave to their hub. */
+  setElapsedTimeSource(source: ElapsedTimeSource): void {
+    this.#elapsedTime = source;
+  }
+
   /** Sets who knows of confirmations. */
   setConfirmationSource(source: ConfirmationSource): void {
     this.#confirmations = source;
@@ -140,6 +156,7 @@
     const { self, clock, isHub } = this.#parts;
     this.#hubSince = isHub() ? Math.min(this.#hubSince, clock.now()) : Infinity;
     this.#updateVmsVersion();
+    this.#elapsedTime?.recordBeat();
     this.#serversDigest = this.getKnown().serversDigest;
     this.#domainUsage.record(formatOrigin(self), this.#listUsage());
     this.#recordOthersAsHub();
@@ -206,6 +223,7 @@
       phase: this.#getPhase(),
       confirmedAgoMs: this.#getConfirmedAgoMs(),
       usage: link.takeChangedUsage(this.#listUsage()),
+      leftMs: this.#elapsedTime?.takeElapsed() ?? 0,
     };
   }
 
@@ -267,6 +285,7 @@
   /** Takes a follower's status. */
   applyStatus(status: Status, link: Link): void {
     const at = this.#parts.clock.now();
+    this.#elapsedTime?.addElapsed(status.leftMs);
     link.status = { sentAt: status.sentAt, at };
     this.#recordFollowerRead(at - (status.confirmedAgoMs ?? Infinity));
     this.#phases.set(link.vm.name, status.phase);
@@ -282,6 +301,7 @@
     const { confirmation } = report;
     if (confirmation === undefined) return;
     const { echo, askedAfterMs, serversAskedAfterMs, version } = confirmation;
+    link.answeredAfterMs = this.#parts.clock.now() - echo;
     this.#confirmations?.recordPassed({
       askedAt: echo + askedAfterMs,
       version,
--- a/src/services/fleet/link.ts
+++ b/src/services/fleet/link.ts
@@ -40,6 +40,8 @@
   sentVmsVersion = -1;
   /** Newest status of a follower: its `sentAt`, and when it arrived. */
   status: { readonly sentAt: number; readonly at: number } | undefined;
+  /** Age of the newest own status that the hub has answered, when it did. */
+  answeredAfterMs = 0;
   readonly #connection: PeerConnection<FleetMessage>;
   readonly #sentUsage = new Map<string, Usage>();
   #sentLoad: LoadByServer = new Map<ServerId, number>();
--- a/src/services/fleet/message.ts
+++ b/src/services/fleet/message.ts
@@ -4,12 +4,14 @@
   Incarnation,
   Offset,
   ServerId,
+  TeamId,
   VmName,
   VmPhase,
 } from "../../model/mod.ts";
 import type { ServerEvidence } from "../membership/peer_message.ts";
 import type { GoneServer } from "../feed/server_registry.ts";
 import type { ServerListing } from "../feed/source.ts";
+import type { TokenAsk, TokenGrant } from "../quota/token_exchange.ts";
 
 /** What a message is; short, since it is sent with each. */
 export enum FleetMessageKind {
@@ -25,6 +27,9 @@
   Servers = "l",
   ServerSet = "n",
   ServerRemoved = "x",
+  TokenAsk = "k",
+  TokenGrant = "g",
+  TokenReturned = "b",
 }
 
 /** What a VM is to the others of its failure domain. */
@@ -71,15 +76,13 @@
 
 /** What is counted; the first character of a {@linkcode Usage}'s name. */
 export enum UsageKind {
-  /** Requests of a team. */
-  Team = "t",
   /** Requests to a service, and second attempts at it. */
   Retries = "r",
 }
 
 /** What was asked for and admitted of one thing; counts since a start. */
 export interface Usage {
-  /** Team or service; among other VMs, behind its {@linkcode UsageKind}. */
+  /** Service; among other VMs, behind its {@linkcode UsageKind}. */
   readonly name: string;
   /** Requests or second attempts admitted, less those given back. */
   readonly admitted: number;
@@ -113,10 +116,12 @@
   /** Sender's monotonic time in milliseconds, for the hub to echo. */
   readonly sentAt: number;
   readonly phase: VmPhase;
-  /** Counts that have changed since the last status. */
   /** Age of the newest read of its own that was answered, if there was any. */
   readonly confirmedAgoMs: number | undefined;
+  /** Counts that have changed since the last status. */
   readonly usage: readonly Usage[];
+  /** Time whose tokens the sender leaves to its hub, in milliseconds. */
+  readonly leftMs: number;
 }
 
 /** A confirmation that no newer configuration existed, passed on. */
@@ -199,6 +204,24 @@
   readonly server: GoneServer;
 }
 
+/** Asks a hub for tokens of a team. */
+export interface TokenAskMessage {
+  readonly kind: FleetMessageKind.TokenAsk;
+  readonly ask: TokenAsk;
+}
+
+/** Tokens that the sender has set aside for the receiver. */
+export interface TokenGrantMessage {
+  readonly kind: FleetMessageKind.TokenGrant;
+  readonly grant: TokenGrant;
+}
+
+/** A token of a request that was not run. */
+export interface TokenReturnedMessage {
+  readonly kind: FleetMessageKind.TokenReturned;
+  readonly team: TeamId;
+}
+
 /** A message between VMs. */
 export type FleetMessage =
   | Hello
@@ -212,4 +235,7 @@
   | DocumentRelay
   | ServersRelay
   | ServerSetRelay
-  | ServerRemovedRelay;
+  | ServerRemovedRelay
+  | TokenAskMessage
+  | TokenGrantMessage
+  | TokenReturnedMessage;
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -8,7 +8,11 @@
 import { DirectoryReader } from "./directory.ts";
 import type { VmDirectory } from "./directory.ts";
 import { Exchange } from "./exchange.ts";
-import type { ConfirmationSource, UsageSource } from "./exchange.ts";
+import type {
+  ConfirmationSource,
+  ElapsedTimeSource,
+  UsageSource,
+} from "./exchange.ts";
 import { HubWatch } from "./hub_watch.ts";
 import {
   isHubRole,
@@ -28,6 +32,7 @@
 export type {
   Confirmation,
   ConfirmationSource,
+  ElapsedTimeSource,
   UsageSource,
 } from "./exchange.ts";
 export { Link, LinkKind } from "./link.ts";
@@ -154,6 +159,11 @@
     this.#loads.setSource(source);
   }
 
+  /** Sets who counts the time that VMs leave to their hub. */
+  setElapsedTimeSource(source: ElapsedTimeSource): void {
+    this.#exchange.setElapsedTimeSource(source);
+  }
+
   /** Sets who knows of confirmations. */
   setConfirmationSource(source: ConfirmationSource): void {
     this.#exchange.setConfirmationSource(source);
@@ -195,6 +205,19 @@
     return isSettled ? live : Math.max(live, this.#list.size);
   }
 
+  /**
+   * Counts the VMs that have announced themselves, dead ones included; undefined
+   * before the directory was asked.
+   */
+  countAnnounced(): number | undefined {
+    return this.#directory.isRead ? this.#list.size : undefined;
+  }
+
+  /** Lists the open links of one kind. */
+  listLinks(kind: LinkKind): Link[] {
+    return [...this.#links].filter((link) => link.kind === kind);
+  }
+
   /** Sends to every VM that follows this one. */
   sendToFollowers(message: FleetMessage): void {
     this.#sendTo(LinkKind.Follower, message);
@@ -465,6 +488,9 @@
       case FleetMessageKind.Servers:
       case FleetMessageKind.ServerSet:
       case FleetMessageKind.ServerRemoved:
+      case FleetMessageKind.TokenAsk:
+      case FleetMessageKind.TokenGrant:
+      case FleetMessageKind.TokenReturned:
         handler?.(message, link);
         return;
     }
--- /dev/null
+++ b/src/services/fleet/tokens.ts
@@ -0,0 +1,90 @@
+/** Tokens of teams among the VMs of a fleet, by way of the hubs. */
+import type { Clock } from "../clock/mod.ts";
+import { AskerKind, StandingKind } from "../quota/token_exchange.ts";
+import type {
+  Standing,
+  TokenExchange,
+  TokenPeer,
+} from "../quota/token_exchange.ts";
+import { FleetMessageKind, FleetRole, LinkKind } from "./mod.ts";
+import type { Fleet, Link } from "./mod.ts";
+
+/**
+ * Time after a follower's newest status for which its hub has its part. A
+ * follower gives up a silent hub after 900 ms; the rest is for the way.
+ */
+const FOLLOWER_HEARD_MS = 700;
+/**
+ * Age of what a hub has answered or said last beyond which it is not asked for
+ * tokens: an interval of 250 ms, and the time that an answer may take.
+ */
+const HUB_HEARD_MS = 650;
+
+/** Creates an exchange by way of the hubs. */
+export function createFleetTokens(fleet: Fleet, clock: Clock): TokenExchange {
+  return {
+    getStanding: () => getStanding(fleet, clock.now()),
+    countHolders: () => fleet.countAnnounced(),
+    setKeeper: (keeper) => {
+      fleet.setElapsedTimeSource(keeper);
+      fleet.setHandler(
+        FleetMessageKind.TokenAsk,
+        ({ ask }, link) => {
+          const asker = link.kind === LinkKind.Follower
+            ? AskerKind.Follower
+            : AskerKind.Hub;
+          keeper.answerAsk(ask, asker, createPeer(link));
+        },
+      );
+      fleet.setHandler(
+        FleetMessageKind.TokenGrant,
+        ({ grant }) => keeper.applyGrant(grant),
+      );
+      fleet.setHandler(
+        FleetMessageKind.TokenReturned,
+        ({ team }) => keeper.addReturned(team),
+      );
+    },
+  };
+}
+
+function getStanding(fleet: Fleet, now: number): Standing {
+  switch (fleet.role) {
+    case FleetRole.Searching:
+      return { kind: StandingKind.Alone };
+    case FleetRole.Follower: {
+      const hub = fleet.listLinks(LinkKind.Uplink)
+        .find((link) => isPrompt(link, now));
+      return hub === undefined
+        ? { kind: StandingKind.Alone }
+        : { kind: StandingKind.Follower, hub: createPeer(hub) };
+    }
+    case FleetRole.Hub: {
+      const ages = fleet.listLinks(LinkKind.Follower)
+        .map(({ status }) => now - (status?.at ?? -Infinity))
+        .filter((age) => age <= FOLLOWER_HEARD_MS);
+      return {
+        kind: StandingKind.Hub,
+        followers: ages.length,
+        notLeftMs: ages.reduce((sum, age) => sum + age, 0),
+        hubs: fleet.listLinks(LinkKind.ToHub).map(createPeer),
+      };
+    }
+  }
+}
+
+function isPrompt(link: Link, now: number): boolean {
+  return now - link.heardAt <= HUB_HEARD_MS &&
+    link.answeredAfterMs <= HUB_HEARD_MS;
+}
+
+function createPeer(link: Link): TokenPeer {
+  return {
+    vm: link.vm.name,
+    sendAsk: (ask) => link.send({ kind: FleetMessageKind.TokenAsk, ask }),
+    sendGrant: (grant) =>
+      link.send({ kind: FleetMessageKind.TokenGrant, grant }),
+    sendReturned: (team) =>
+      link.send({ kind: FleetMessageKind.TokenReturned, team }),
+  };
+}
--- a/standins/overload_run.ts
+++ b/standins/overload_run.ts
@@ -1,15 +1,15 @@
 /** One service under a given load in virtual time, with and without decisions. */
 import { Overload, OverloadKind } from "../src/services/overload/mod.ts";
-import {
-  BucketDecisionKind,
-  TeamBucket,
-} from "../src/services/quota/team_bucket.ts";
-import type { BucketLimits } from "../src/services/quota/team_bucket.ts";
+import { TokenAccount } from "../src/services/quota/token_account.ts";
+import type { TeamLimits } from "../src/services/quota/token_account.ts";
 import { createSeededRandom } from "../src/services/random/mod.ts";
 import type { Random } from "../src/services/random/mod.ts";
 import { SlottedServer } from "./slotted_server.ts";
 import { VirtualTime } from "./virtual_clock.ts";
 
+/** All of each team's tokens. */
+const ONLY_VM = { vms: 1, formerVms: 1, notLeftMs: 0, holders: 1 };
+
 /** Load for a time. */
 export interface LoadStep {
   /** Arriving work, in multiples of what all slots can do. */
@@ -51,7 +51,7 @@
    */
   readonly heavy?: number;
   /** Limits of each team; none if left out. */
-  readonly limits?: BucketLimits;
+  readonly limits?: TeamLimits;
 }
 
 /** How the requests ended. */
@@ -110,7 +110,7 @@
   readonly #random: Random;
   readonly #overload: Overload;
   readonly #servers: readonly SlottedServer[];
-  readonly #buckets: readonly TeamBucket[];
+  readonly #accounts: readonly TokenAccount[];
   readonly #result: OverloadResult;
   /** Requests at each server as they were known last. */
   #known: number[] = [];
@@ -124,9 +124,9 @@
       () => new SlottedServer(this.#time, SLOTS),
     );
     const { limits } = options;
-    this.#buckets = limits === undefined ? [] : Array.from(
+    this.#accounts = limits === undefined ? [] : Array.from(
       { length: OVERLOAD_TEAMS },
-      () => new TeamBucket(limits, 1, MS_PER_SECOND, 0),
+      () => new TokenAccount(-MS_PER_SECOND),
     );
     this.#result = createResult(options);
   }
@@ -150,9 +150,7 @@
   }
 
   #updateKnown(): void {
-    const { now } = this.#time;
     this.#known = this.#servers.map((server) => server.inFlight);
-    for (const bucket of this.#buckets) bucket.recordOthers(0, 0, now);
     this.#time.startTimer(LOOK_MS, () => this.#updateKnown());
   }
 
@@ -204,14 +202,11 @@
 
   #isWithinLimits({ team }: CallerRequest): boolean {
     const { limits } = this.#options;
-    const bucket = this.#buckets[team];
-    if (limits === undefined || bucket === undefined) return true;
-    const decision = bucket.take(
-      limits,
-      { vms: 1, heardMs: 0 },
-      this.#time.now,
-    );
-    return decision.kind === BucketDecisionKind.Admitted;
+    const account = this.#accounts[team];
+    if (limits === undefined || account === undefined) return true;
+    const { now } = this.#time;
+    account.update(limits, ONLY_VM, now, now);
+    return account.take();
   }
 
   #isAccepted(request: CallerRequest): boolean {
--- a/tests/feed_world.ts
+++ b/tests/feed_world.ts
@@ -25,7 +25,6 @@
   Fleet,
   FleetMessageKind,
   FleetRole,
-  UsageKind,
   VmUpdateKind,
 } from "../src/services/fleet/mod.ts";
 import type {
@@ -33,6 +32,7 @@
   VmDirectory,
   VmUpdate,
 } from "../src/services/fleet/mod.ts";
+import { createFleetTokens } from "../src/services/fleet/tokens.ts";
 import { Confirmations } from "../src/services/freshness/confirmations.ts";
 import type { Logger } from "../src/services/logging/mod.ts";
 import { Metrics } from "../src/services/metrics/mod.ts";
@@ -412,13 +412,11 @@
   }
 
   #createLimiter(fleet: Fleet, clock: VirtualClock): TeamLimiter {
-    const quota = new Quota({
+    return new Quota({
       clock,
-      countVms: () => fleet.countVms(),
+      exchange: createFleetTokens(fleet, clock),
       findLimits: () => this.team,
     });
-    fleet.setUsageSource(UsageKind.Team, quota);
-    return quota;
   }
 
   #createDirectory(name: string, clock: VirtualClock): VmDirectory {
@@ -438,14 +436,15 @@
   }
 }
 
-/** Creates a world of VMs that have settled, some in each domain. */
+/** Creates a world of VMs that have settled, spread over the domains. */
 export async function createWorld(
-  vmsPerDomain = VMS_PER_DOMAIN,
+  vms = DOMAINS.length * VMS_PER_DOMAIN,
 ): Promise<World> {
   const world = new World();
   world.publish(1);
-  for (const domain of DOMAINS) {
-    for (let index = 0; index < vmsPerDomain; index += 1) {
+  for (const [at, domain] of DOMAINS.entries()) {
+    const count = Math.ceil((vms - at) / DOMAINS.length);
+    for (let index = 0; index < count; index += 1) {
       world.startVm(`${domain}${index}`);
     }
   }
--- a/tests/operations_test.ts
+++ b/tests/operations_test.ts
@@ -126,7 +126,7 @@
     await runPageCommand(refused, "refused a request"),
     section,
     "refused a request",
-    ["ratePerSecond", "burst", "version", "tokens", "share", "vms"],
+    ["ratePerSecond", "burst", "version", "tokens", "standing", "holders"],
   );
   assert.equal(typeof line["tokens"], "number");
   assert.equal(line["level"], "info");
--- a/tests/quota_fleet_test.ts
+++ b/tests/quota_fleet_test.ts
@@ -6,11 +6,11 @@
   QuotaFaultKind,
   runQuotaPlay,
 } from "./quota_scenario.ts";
-import type { QuotaFault, QuotaPlay } from "./quota_scenario.ts";
+import type { QuotaFault, QuotaOutcome, QuotaPlay } from "./quota_scenario.ts";
 
 const RATE = 66;
 const BURST = 66;
-const VMS_PER_DOMAIN = 10;
+const VMS = 30;
 const HOT_FACTOR = 5;
 const LENGTH_MS = 14_000;
 /** When the team becomes hot; the bucket is full until then. */
@@ -18,7 +18,7 @@
 
 function createHotPlay(seed: number, faults: readonly QuotaFault[]): QuotaPlay {
   return {
-    vmsPerDomain: VMS_PER_DOMAIN,
+    vms: VMS,
     ratePerSecond: RATE,
     burst: BURST,
     lengthMs: LENGTH_MS,
@@ -85,3 +85,136 @@
 addHotTest("hot team: VMs are cut off from each other", [
   { kind: QuotaFaultKind.Cut, at: 3_000, share: 0.4, forMs: 4_000 },
 ]);
+
+/** Share of the requests within a team's rate that may be refused. */
+const REFUSED_MAX = 0.005;
+const WARM_UP_MS = 2_000;
+
+interface Load {
+  readonly vms: number;
+  /** Rate and burst of the team, each in requests and a second. */
+  readonly limit: number;
+  readonly seconds: number;
+  readonly seed: number;
+  readonly getRate: (ms: number) => number;
+  readonly pickVm?: QuotaPlay["pickVm"];
+  readonly faults?: readonly QuotaFault[];
+}
+
+function runLoad(load: Load): Promise<QuotaOutcome> {
+  const { vms, limit, seconds, seed, getRate, pickVm, faults = [] } = load;
+  return runQuotaPlay({
+    vms,
+    ratePerSecond: limit,
+    burst: limit,
+    lengthMs: seconds * 1_000,
+    warmUpMs: WARM_UP_MS,
+    seed,
+    getRate,
+    ...(pickVm !== undefined && { pickVm }),
+    faults,
+  });
+}
+
+async function checkWindow(load: Load): Promise<void> {
+  const { worstWindow } = await runLoad(load);
+  const most = getWindowLimit(load.limit, load.limit);
+  assert.ok(worstWindow <= most, `${worstWindow} of ${most}`);
+}
+
+async function checkRefused(load: Load): Promise<void> {
+  const { asked, refused } = await runLoad(load);
+  assert.ok(refused <= REFUSED_MAX * asked, `${refused} of ${asked}`);
+}
+
+for (const seed of [1, 2, 3]) {
+  test(`hot team: five times the rate from all VMs stays in its limits (seed ${seed})`, async () => {
+    await checkWindow({
+      vms: 32,
+      limit: 46,
+      seconds: 30,
+      seed,
+      getRate: (ms) => ms < 8_000 ? 29 : 230,
+    });
+  });
+
+  test(`sudden team: every VM is asked at once after a pause (seed ${seed})`, async () => {
+    for (const vms of [4, 32]) {
+      await checkWindow({
+        vms,
+        limit: 20,
+        seconds: 12,
+        seed,
+        getRate: (ms) => ms < 2_000 ? 0 : 320,
+      });
+    }
+  });
+
+  test(`restart: all VMs start again while a team is hot (seed ${seed})`, async () => {
+    await checkWindow({
+      vms: 36,
+      limit: 63,
+      seconds: 20,
+      seed,
+      getRate: () => 400,
+      faults: [{
+        kind: QuotaFaultKind.HerdKill,
+        at: 13_000,
+        share: 1,
+        downMs: 10,
+      }],
+    });
+  });
+
+  // Guards against tokens that a new hub begins with.
+  test(`rolling replacement: hubs change while a team is hot (seed ${seed})`, async () => {
+    await checkWindow({
+      vms: 33,
+      limit: 66,
+      seconds: 30,
+      seed,
+      getRate: () => 300,
+      faults: Array.from({ length: 14 }, (_fault, domain) => ({
+        kind: QuotaFaultKind.HubFreeze,
+        at: 2_000 * (1 + domain),
+        downMs: 1_500,
+        domain,
+      })),
+    });
+  });
+
+  test(`skewed callers: one VM gets nearly the whole rate (seed ${seed})`, async () => {
+    await checkRefused({
+      vms: 32,
+      limit: 46,
+      seconds: 30,
+      seed,
+      getRate: () => 0.95 * 46,
+      pickVm: (vms) => vms[7],
+    });
+  });
+
+  test(`even callers: a team within its rate is hardly refused (seed ${seed})`, async () => {
+    await checkRefused({
+      vms: 32,
+      limit: 46,
+      seconds: 30,
+      seed,
+      getRate: () => 0.8 * 46,
+    });
+  });
+}
+
+for (const vms of [18, 112]) {
+  for (const seed of [1, 2, 3]) {
+    test(`small team: ${vms} VMs are asked one after the other (seed ${seed})`, async () => {
+      await checkWindow({
+        vms,
+        limit: 10,
+        seconds: 30,
+        seed,
+        getRate: (ms) => ms < 5_000 ? 0 : 80,
+      });
+    });
+  }
+}
--- a/tests/quota_scenario.ts
+++ b/tests/quota_scenario.ts
@@ -19,11 +19,11 @@
   HerdKill = "herd_kill",
   /** VMs are killed one after the other and start again. */
   KillsInTurn = "kills_in_turn",
-  /** The hubs are killed and start again. */
+  /** Hubs are killed and start again. */
   HubKill = "hub_kill",
   /** Some VMs stand still and go on. */
   Freeze = "freeze",
-  /** The hubs stand still and go on. */
+  /** Hubs stand still and go on. */
   HubFreeze = "hub_freeze",
   /** Some VMs are cut off from all others, which they do not notice. */
   Cut = "cut",
@@ -52,6 +52,8 @@
     readonly kind: QuotaFaultKind.HubKill | QuotaFaultKind.HubFreeze;
     readonly at: number;
     readonly downMs: number;
+    /** Index of the domain whose hub it is; all of them if left out. */
+    readonly domain?: number;
   }
   | {
     readonly kind: QuotaFaultKind.Freeze | QuotaFaultKind.Cut;
@@ -73,10 +75,15 @@
 
 /** What is played; times count from when the fleet has settled. */
 export interface QuotaPlay {
-  readonly vmsPerDomain: number;
+  readonly vms: number;
   readonly ratePerSecond: number;
   readonly burst: number;
   readonly lengthMs: number;
+  /**
+   * Time until all VMs know of callers that are new; not counted as refused.
+   * @default 0
+   */
+  readonly warmUpMs?: number;
   readonly seed: number;
   /** Requests a second of all callers together. */
   readonly getRate: (ms: number) => number;
@@ -84,7 +91,10 @@
    * Picks the VM that a request goes to among those that live.
    * @default any of them
    */
-  readonly pickVm?: (vms: readonly VirtualVm[], random: Random) => VirtualVm;
+  readonly pickVm?: (
+    vms: readonly VirtualVm[],
+    random: Random,
+  ) => VirtualVm | undefined;
   readonly faults: readonly QuotaFault[];
 }
 
@@ -115,7 +125,7 @@
 
 /** Plays requests and faults, and counts what was admitted. */
 export async function runQuotaPlay(play: QuotaPlay): Promise<QuotaOutcome> {
-  const world = await createWorld(play.vmsPerDomain);
+  const world = await createWorld(play.vms);
   world.team = {
     ...world.team,
     ratePerSecond: play.ratePerSecond,
@@ -135,16 +145,19 @@
       MS_PER_SECOND;
     const count = Math.floor(expected + random());
     for (let index = 0; index < count; index += 1) {
-      const vm = play.pickVm?.(world.vms, random) ?? pickAny(world.vms, random);
+      // A VM admits nobody before it knows the configuration.
+      const vms = world.vms.filter(({ freshness }) => freshness.isFresh());
+      const vm = play.pickVm?.(vms, random) ?? pickAny(vms, random);
       if (vm === undefined) continue;
-      asked += 1;
+      const isWarm = world.time.now - startedAt >= (play.warmUpMs ?? 0);
+      if (isWarm) asked += 1;
       // A VM that stands still serves what has come when it goes on.
       vm.clock.runAwake(() => {
         if (vm.stop.signal.aborted) return;
         void vm.limiter.take(world.team, ORDINARY).then((decision) => {
           if (decision.kind === LimitKind.Within) {
             admittedAt.push(world.time.now);
-          } else refused += 1;
+          } else if (isWarm) refused += 1;
         });
       });
     }
@@ -177,7 +190,7 @@
     case QuotaFaultKind.HerdKill:
       return killVms(world, pickShare(fault.share), fault.downMs);
     case QuotaFaultKind.HubKill:
-      return killVms(world, world.listHubs(), fault.downMs);
+      return killVms(world, listHubs(world, fault.domain), fault.downMs);
     case QuotaFaultKind.KillsInTurn: {
       const { count, gapMs, downMs } = fault;
       pickSome(world.vms, count, random).forEach(({ name }, index) => {
@@ -191,7 +204,7 @@
     case QuotaFaultKind.Freeze:
       return holdVms(world, pickShare(fault.share), fault.forMs);
     case QuotaFaultKind.HubFreeze:
-      return holdVms(world, world.listHubs(), fault.downMs);
+      return holdVms(world, listHubs(world, fault.domain), fault.downMs);
     case QuotaFaultKind.Cut:
       return cutVms(world, pickShare(fault.share), fault.forMs);
     case QuotaFaultKind.Late:
@@ -209,6 +222,14 @@
   }
 }
 
+function listHubs(world: World, domain?: number): VirtualVm[] {
+  const hubs = world.listHubs();
+  if (domain === undefined) return hubs;
+  return hubs.filter(({ fleet }) =>
+    fleet.self.failureDomain === DOMAINS[domain % DOMAINS.length]
+  );
+}
+
 function killVms(
   world: World,
   vms: readonly VirtualVm[],
