Believe a refusal only of the request that it names

Report of another operator: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' of requests that ran, or these ran at a second server. Here a refusal with another request's id counted as crossed, but a 421 was believed before its id was looked at, and one without an id on a kept connection was believed as well. Now the id is looked at first, and a claim without an id counts only on a connection that has carried nothing else.

Another report, a server that stops in the middle of its answer's head and closes, can't happen here: answers with a length, with chunks and without either are cut after each of their bytes, and none is taken for whole.

--- a/src/protocols/http/upstream_client.ts
+++ b/src/protocols/http/upstream_client.ts
@@ -292,17 +292,23 @@
 ): UpstreamAnswer {
   const status = response.statusCode ?? 0;
   const report = response.headers;
+  const echoed = getField(report, dialect.attemptField);
+  // On a kept connection a refusal without an id may be that of an earlier
+  // request, which a faulty server has written once more.
+  const isOwn = echoed !== undefined || dialect.proofField === undefined ||
+    !attempt.mayReuseConnection;
   const headers = removeHopByHop(decodeHeaders(response.rawHeaders));
   return {
     status,
     headers: removeFields(headers, dialect.hiddenFields),
-    attempt: getField(report, dialect.attemptField),
-    isNotRun: isNotRun(dialect, getField(report, dialect.notRunField)),
-    isMisdirected: dialect.serverField !== undefined &&
+    attempt: echoed,
+    isNotRun: isOwn &&
+      isNotRun(dialect, getField(report, dialect.notRunField)),
+    isMisdirected: isOwn && dialect.serverField !== undefined &&
       status === STATUS_MISDIRECTED,
     isUnproven: dialect.proofField !== undefined &&
       (getField(report, dialect.proofField) === undefined ||
-        getField(report, dialect.attemptField) === undefined),
+        echoed === undefined),
     isDraining: dialect.drainingField !== undefined &&
       getField(report, dialect.drainingField) === "true",
     load: dialect.parseLoad(getField(report, dialect.loadField) ?? ""),
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -229,25 +229,26 @@
 }
 
 /** Decides whether a server's answer is one to this attempt, and whole. */
-async function checkAnswer(
+export async function checkAnswer(
   attempt: Attempt,
   answer: UpstreamAnswer,
   clock: Clock,
 ): Promise<AttemptResult> {
   const { server } = attempt;
   const peer = server.id;
-  if (answer.isMisdirected) {
+  // An answer to another request says nothing of this one, not even a refusal.
+  if (answer.attempt !== undefined && answer.attempt !== attempt.id) {
     answer.cancel();
     return {
-      kind: OutcomeKind.NotRun,
-      failure: { kind: FailureKind.Misdirected, step: Step.FirstByte, peer },
+      kind: OutcomeKind.MayHaveRun,
+      failure: { kind: FailureKind.Crossed, step: Step.FirstByte, peer },
     };
   }
-  if (answer.attempt !== undefined && answer.attempt !== attempt.id) {
+  if (answer.isMisdirected) {
     answer.cancel();
     return {
-      kind: OutcomeKind.MayHaveRun,
-      failure: { kind: FailureKind.Crossed, step: Step.FirstByte, peer },
+      kind: OutcomeKind.NotRun,
+      failure: { kind: FailureKind.Misdirected, step: Step.FirstByte, peer },
     };
   }
   if (answer.isNotRun) {
--- a/src/services/forwarding/attempt_runner_test.ts
+++ b/src/services/forwarding/attempt_runner_test.ts
@@ -15,7 +15,7 @@
 import { Dispatch } from "../dispatch/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import { Selection } from "../selection/mod.ts";
-import { AttemptRunner } from "./attempt_runner.ts";
+import { AttemptRunner, checkAnswer } from "./attempt_runner.ts";
 import type { AttemptParts, Job } from "./attempt_runner.ts";
 import type { Attempt, UpstreamAnswer } from "./upstream.ts";
 
@@ -160,3 +160,29 @@
     await result;
   });
 }
+
+const OTHER_REFUSALS: Record<string, Partial<UpstreamAnswer>> = {
+  "that it did not run it": { status: 503, isNotRun: true },
+  "that it is another server": { status: 421, isMisdirected: true },
+};
+
+for (const [claim, fields] of Object.entries(OTHER_REFUSALS)) {
+  // Guards against a refusal of an earlier request that a server writes again.
+  test(`a server that says of another request ${claim} may have run this one`, async () => {
+    const attempt = { id: "r2", server: SERVER } as Attempt;
+    const answer: UpstreamAnswer = {
+      status: 200,
+      headers: [],
+      attempt: "r1",
+      isNotRun: false,
+      isDraining: false,
+      load: undefined,
+      hasBody: false,
+      readBody: async function* () {},
+      cancel: () => {},
+      ...fields,
+    };
+    const result = await checkAnswer(attempt, answer, createSystemClock());
+    assert.equal(result.kind, OutcomeKind.MayHaveRun);
+  });
+}
--- /dev/null
+++ b/tests/faulty_answers_test.ts
@@ -0,0 +1,143 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import net from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import { test } from "node:test";
+import { PLATFORM_DIALECT } from "../platform/dialect.ts";
+import { OutcomeKind, ServerPhase } from "../src/model/mod.ts";
+import { createHttpUpstreamClient } from "../src/protocols/http/upstream_client.ts";
+import { BodyError } from "../src/services/forwarding/upstream.ts";
+import type {
+  Attempt,
+  UpstreamClient,
+} from "../src/services/forwarding/upstream.ts";
+
+const ATTEMPT = "a-1";
+const HEAD = "HTTP/1.1 200 OK\r\n" +
+  `rhubarbwall-attempt-id: ${ATTEMPT}\r\n` +
+  "rhubarbwall-response-signature: proof\r\n";
+/** Answers whose end is told by themselves, not by their connection. */
+const WHOLE: Record<string, string> = {
+  "a length": `${HEAD}content-length: 12\r\n\r\nwhole answer`,
+  "chunks": `${HEAD}transfer-encoding: chunked\r\n\r\n` +
+    "5\r\nwhole\r\n7\r\n answer\r\n0\r\n\r\n",
+};
+
+function createAttempt(port: number, id: string): Attempt {
+  return {
+    id,
+    server: {
+      id: "i-1",
+      service: "rota",
+      host: "127.0.0.1",
+      port,
+      failureDomain: "a",
+      slots: 4,
+      phase: ServerPhase.Active,
+      revision: 1,
+    },
+    team: undefined,
+    method: "GET",
+    target: "/",
+    headers: [],
+    bodyLength: 0,
+    body: undefined,
+    remainingMs: 1_000,
+    mayReuseConnection: true,
+    isAllowed: () => true,
+    signal: new AbortController().signal,
+  };
+}
+
+/** Runs `body` with a client and the port of a server. */
+async function runWithServer<T>(
+  serve: (socket: Socket) => void,
+  body: (client: UpstreamClient, port: number) => Promise<T>,
+): Promise<T> {
+  const server = net.createServer((socket) => {
+    socket.on("error", () => {});
+    serve(socket);
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const client = createHttpUpstreamClient(PLATFORM_DIALECT);
+  try {
+    return await body(client, (server.address() as AddressInfo).port);
+  } finally {
+    client.close();
+    server.close();
+  }
+}
+
+/** Reads an answer; undefined if none came whole. */
+async function fetchWhole(
+  client: UpstreamClient,
+  port: number,
+): Promise<string | undefined> {
+  const outcome = await client.send(createAttempt(port, ATTEMPT));
+  if (outcome.kind !== OutcomeKind.Answered) return undefined;
+  let body = "";
+  try {
+    for await (const chunk of outcome.answer.readBody()) {
+      body += Buffer.from(chunk).toString();
+    }
+  } catch (error) {
+    if (error instanceof BodyError) return undefined;
+    throw error;
+  }
+  return body;
+}
+
+for (const [kind, answer] of Object.entries(WHOLE)) {
+  // Guards against a 200 with an empty or short body that looks whole.
+  test(`an answer with ${kind} that stops at any byte is not whole`, async () => {
+    let sent = 0;
+    const serve = (socket: Socket): void => {
+      socket.once("data", () => socket.end(answer.slice(0, sent)));
+    };
+    await runWithServer(serve, async (client, port) => {
+      for (; sent < answer.length; sent += 1) {
+        const body = await fetchWhole(client, port);
+        assert.equal(body, undefined, `after ${sent} bytes: ${body}`);
+      }
+      assert.equal(await fetchWhole(client, port), "whole answer");
+    });
+  });
+}
+
+// Guards against a head without a length that ends early and looks whole.
+test("an answer without a length that stops in its head is none", async () => {
+  let sent = 0;
+  const serve = (socket: Socket): void => {
+    socket.once("data", () => socket.end(`${HEAD}\r\n`.slice(0, sent)));
+  };
+  await runWithServer(serve, async (client, port) => {
+    for (; sent < HEAD.length + 2; sent += 1) {
+      const body = await fetchWhole(client, port);
+      assert.equal(body, undefined, `after ${sent} bytes`);
+    }
+  });
+});
+
+const REFUSALS: Record<string, string> = {
+  "that it did not run it":
+    "HTTP/1.1 503 Busy\r\nrhubarbwall-not-executed: full\r\n",
+  "that it is another server": "HTTP/1.1 421 Misdirected\r\n",
+};
+
+for (const [claim, head] of Object.entries(REFUSALS)) {
+  // Guards against a refusal that may belong to an earlier request.
+  test(`a server that says without an id on a kept connection ${claim} is not believed`, async () => {
+    const serve = (socket: Socket): void => {
+      socket.on("data", () => socket.write(`${head}content-length: 0\r\n\r\n`));
+    };
+    await runWithServer(serve, async (client, port) => {
+      const sent = await client.send(createAttempt(port, "a-2"));
+      assert.equal(sent.kind, OutcomeKind.Answered);
+      if (sent.kind !== OutcomeKind.Answered) return;
+      assert.equal(sent.answer.isNotRun, false);
+      assert.equal(sent.answer.isMisdirected, false);
+      sent.answer.cancel();
+    });
+  });
+}
