Read VMs' entries by the schema of the messages that pass them on

An entry in the directory of VMs with a name of over 255 characters, or whose start is no whole number, was listed, and then made every message that tells followers of VMs undecodable; such messages are dropped. One schema serves both now.

--- a/src/protocols/fleet/message_codec.ts
+++ b/src/protocols/fleet/message_codec.ts
@@ -18,7 +18,8 @@
 const NAME_LENGTH_MAX = 255;
 const name = z.string().max(NAME_LENGTH_MAX);
 const count = z.int().min(0);
-const vmEntry = z.object({
+/** Schema of a VM's entry, here and in the directory of VMs. */
+export const vmEntrySchema = z.object({
   name,
   incarnation: count,
   failureDomain: name,
@@ -96,7 +97,7 @@
 const messageSchema = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal(FleetMessageKind.Hello),
-    vm: vmEntry,
+    vm: vmEntrySchema,
     role,
     known,
   }),
@@ -124,7 +125,7 @@
   z.object({ kind: z.literal(FleetMessageKind.Load), load }),
   z.object({
     kind: z.literal(FleetMessageKind.VmsKnown),
-    vms: z.array(vmEntry),
+    vms: z.array(vmEntrySchema),
   }),
   z.object({
     kind: z.literal(FleetMessageKind.Evidence),
