--- a/tests/platform_test.ts
+++ b/tests/platform_test.ts
@@ -181,6 +181,40 @@
   fleet.announceServer(2, "ready");
 });
 
+// Guards against an entry of another writer at which readers of the list end.
+test("odd entries among the servers' end no VM, and the list is followed on", async () => {
+  const deep = "[".repeat(50_000) + "]".repeat(50_000);
+  const entry = {
+    Service: "rota",
+    Address: "127.0.0.1:70000",
+    Zone: "z1",
+    Version: "v1",
+    Slots: 4,
+    State: "ready",
+    ColdRemaining: "0ms",
+    Sequence: 1,
+  };
+  const usable = { ...entry, Address: "127.0.0.1:9" };
+  fleet.store.put("keyed.servers", "i-port", entry);
+  fleet.store.put("keyed.servers", "i-slots", { ...usable, Slots: 1e15 });
+  fleet.store.put("keyed.servers", "i\n1", usable);
+  fleet.store.put("keyed.servers", "i-deep", `{"Service":${deep}}`);
+  fleet.store.put("keyed.servers", "i-large", '{"Sequence":1e999}');
+  fleet.announceServer(2, "draining");
+  await sleep(DRAIN_MS);
+  const before = fleet.servers[2]?.runCount;
+  for (let index = 0; index < 20; index += 1) {
+    const { status } = await sendToVm(getVm(index % 4), {
+      path: "/look/1",
+      key: KEY,
+    });
+    assert.equal(status, 200);
+  }
+  assert.equal(fleet.servers[2]?.runCount, before);
+  for (const vm of fleet.vms) assert.equal(vm.process.exitCode, null, vm.name);
+  fleet.announceServer(2, "ready");
+});
+
 test("the store's lost history changes nothing", async () => {
   fleet.store.forget();
   await sleep(PROPAGATION_MS);
