Play overlapping faults and falling limits against rate and burst

Five random faults of ten kinds that overlap, by a seed: kills, freezes, cuts, late messages, silent links, VMs that join. The test holds what docs/DESIGN.md states as the worst. Limits that fall to 0.3 beside a kill of all hubs stay in the contract.

--- a/tests/quota_fleet_test.ts
+++ b/tests/quota_fleet_test.ts
@@ -1,10 +1,14 @@
 import assert from "node:assert/strict";
+import process from "node:process";
 import { test } from "node:test";
 import { getKnownRed } from "./known_red.ts";
 import {
+  countWorstWindow,
+  createRandomFaults,
   getWindowLimit,
   QuotaFaultKind,
   runQuotaPlay,
+  WINDOW_MS,
 } from "./quota_scenario.ts";
 import type { QuotaFault, QuotaOutcome, QuotaPlay } from "./quota_scenario.ts";
 
@@ -86,6 +90,67 @@
   { kind: QuotaFaultKind.Cut, at: 3_000, share: 0.4, forMs: 4_000 },
 ]);
 
+/** Seeds of random faults; `QUOTA_SEEDS=1-120` plays others. */
+const SEEDS = parseSeeds(process.env["QUOTA_SEEDS"] ?? "1,7,37,55,91,97");
+/**
+ * What all VMs together may admit beyond rate and burst in any window, in time
+ * of the rate: tokens and statuses on their way, 400 ms each (docs/DESIGN.md).
+ */
+const BEYOND_MS = 800;
+/** Time between the ends of two bursts of the seeds with odd numbers. */
+const BURST_MS = 2_500;
+
+function parseSeeds(text: string): number[] {
+  return text.split(",").flatMap((part) => {
+    const [first = NaN, last = first] = part.split("-").map(Number);
+    return Array.from({ length: last - first + 1 }, (_, at) => first + at);
+  });
+}
+
+/** Steady calls beyond the rate, or bursts that find a full bucket. */
+function createRate(seed: number, rate: number): (ms: number) => number {
+  if (seed % 2 === 0) return (ms) => ms < 2_000 ? 0.6 * rate : 5 * rate;
+  const isQuiet = (ms: number): boolean =>
+    ms < 3_000 || Math.floor(ms / BURST_MS) % 3 === 0;
+  return (ms) => isQuiet(ms) ? 0.3 * rate : 6 * rate;
+}
+
+// Guards against a bound that holds for single faults alone.
+test("hot team: five faults of all kinds that overlap", async () => {
+  const rate = 60;
+  const most = rate * (WINDOW_MS + BEYOND_MS) / 1_000 + rate;
+  assert.ok(most <= getWindowLimit(rate, rate));
+  const exceeded: string[] = [];
+  for (const seed of SEEDS) {
+    const { worstWindow } = await runQuotaPlay({
+      vms: 15,
+      ratePerSecond: rate,
+      burst: rate,
+      lengthMs: 18_000,
+      seed,
+      getRate: createRate(seed, rate),
+      faults: createRandomFaults(seed),
+    });
+    if (worstWindow > most) exceeded.push(`seed ${seed}: ${worstWindow}`);
+  }
+  assert.deepEqual(exceeded, []);
+});
+
+// Guards against tokens that were saved up under a limit that has fallen.
+test("hot team: its limits fall while hubs die", async () => {
+  const fallsAt = 6_000;
+  const part = 0.3;
+  for (const seed of [1, 2, 3]) {
+    const { admittedAt } = await runQuotaPlay(createHotPlay(seed, [
+      { kind: QuotaFaultKind.HubKill, at: fallsAt - 500, downMs: 600 },
+      { kind: QuotaFaultKind.LowerLimit, at: fallsAt, part },
+    ]));
+    const worst = countWorstWindow(admittedAt.filter((at) => at >= fallsAt));
+    const most = getWindowLimit(part * RATE, part * BURST);
+    assert.ok(worst <= most, `seed ${seed}: ${worst} of ${most}`);
+  }
+});
+
 /** Share of the requests within a team's rate that may be refused. */
 const REFUSED_MAX = 0.005;
 const WARM_UP_MS = 2_000;
--- a/tests/quota_scenario.ts
+++ b/tests/quota_scenario.ts
@@ -12,6 +12,8 @@
 /** Time between two looks at what has come. */
 const STEP_MS = 10;
 const MS_PER_SECOND = 1_000;
+/** Number in the names of VMs that join; no other VM has such a one. */
+const FIRST_JOINED = 100;
 
 /** Kinds of {@linkcode QuotaFault}. */
 export enum QuotaFaultKind {
@@ -31,6 +33,10 @@
   Late = "late",
   /** New VMs join. */
   Join = "join",
+  /** Open connections of some VMs go silent; new ones work. */
+  SilentLinks = "silent_links",
+  /** The team's rate and burst fall to a part. */
+  LowerLimit = "lower_limit",
 }
 
 /** Something that befalls VMs; times are in milliseconds. */
@@ -71,6 +77,17 @@
     readonly kind: QuotaFaultKind.Join;
     readonly at: number;
     readonly perDomain: number;
+  }
+  | {
+    readonly kind: QuotaFaultKind.SilentLinks;
+    readonly at: number;
+    readonly share: number;
+  }
+  | {
+    readonly kind: QuotaFaultKind.LowerLimit;
+    readonly at: number;
+    /** Part of the limits that stays, 0 to 1. */
+    readonly part: number;
   };
 
 /** What is played; times count from when the fleet has settled. */
@@ -104,6 +121,8 @@
   readonly refused: number;
   /** Most requests that were admitted in any window. */
   readonly worstWindow: number;
+  /** When requests were admitted, in milliseconds since the play began. */
+  readonly admittedAt: readonly number[];
 }
 
 /** Gets the most requests that the users' contract allows in one window. */
@@ -156,7 +175,7 @@
         if (vm.stop.signal.aborted) return;
         void vm.limiter.take(world.team, ORDINARY).then((decision) => {
           if (decision.kind === LimitKind.Within) {
-            admittedAt.push(world.time.now);
+            admittedAt.push(world.time.now - startedAt);
           } else if (isWarm) refused += 1;
         });
       });
@@ -164,7 +183,53 @@
     await world.time.advance(STEP_MS);
   }
   for (const vm of [...world.vms]) world.killVm(vm);
-  return { asked, refused, worstWindow: countWorstWindow(admittedAt) };
+  const worstWindow = countWorstWindow(admittedAt);
+  return { asked, refused, worstWindow, admittedAt };
+}
+
+/** Times between which faults begin, and how long they last. */
+const FAULTS_FROM_MS = 1_500;
+const FAULTS_TO_MS = 12_000;
+const FAULT_MIN_MS = 300;
+const FAULT_MAX_MS = 4_000;
+const FAULTS = 5;
+
+/** Draws faults of all kinds but lower limits; they overlap. */
+export function createRandomFaults(seed: number): QuotaFault[] {
+  const random = createSeededRandom(seed);
+  const pick = (least: number, most: number): number =>
+    least + random() * (most - least);
+  return Array.from({ length: FAULTS }, (): QuotaFault => {
+    const at = pick(FAULTS_FROM_MS, FAULTS_TO_MS);
+    const forMs = pick(FAULT_MIN_MS, FAULT_MAX_MS);
+    const share = pick(0.1, 0.7);
+    const kinds = Object.values(QuotaFaultKind);
+    const kind = pickAny(kinds, random) ?? QuotaFaultKind.HerdKill;
+    switch (kind) {
+      case QuotaFaultKind.LowerLimit:
+      case QuotaFaultKind.HerdKill:
+        return {
+          kind: QuotaFaultKind.HerdKill,
+          at,
+          share,
+          downMs: forMs,
+        };
+      case QuotaFaultKind.KillsInTurn:
+        return { kind, at, count: 6, gapMs: 400, downMs: forMs };
+      case QuotaFaultKind.HubKill:
+      case QuotaFaultKind.HubFreeze:
+        return { kind, at, downMs: forMs };
+      case QuotaFaultKind.Freeze:
+      case QuotaFaultKind.Cut:
+        return { kind, at, share, forMs };
+      case QuotaFaultKind.Late:
+        return { kind, at, forMs, lateMs: pick(20, 900) };
+      case QuotaFaultKind.Join:
+        return { kind, at, perDomain: 1 };
+      case QuotaFaultKind.SilentLinks:
+        return { kind, at, share };
+    }
+  });
 }
 
 function pickAny<T>(values: readonly T[], random: Random): T | undefined {
@@ -216,9 +281,21 @@
     case QuotaFaultKind.Join:
       for (const domain of DOMAINS) {
         for (let index = 0; index < fault.perDomain; index += 1) {
-          world.startVm(`${domain}${90 + index}`);
+          world.startVm(`${domain}${FIRST_JOINED + world.vms.length + index}`);
         }
       }
+      return;
+    case QuotaFaultKind.SilentLinks:
+      for (const vm of pickShare(fault.share)) vm.transport.setSilent();
+      return;
+    case QuotaFaultKind.LowerLimit: {
+      const { ratePerSecond, burst } = world.team;
+      world.team = {
+        ...world.team,
+        ratePerSecond: ratePerSecond * fault.part,
+        burst: burst * fault.part,
+      };
+    }
   }
 }
 
