Keep the directory of VMs in step with who lives

Each VM that has announced itself has a part of every team's rate, whether it lives or not. An entry was removed by a planned stop alone, so with VMs that die and are replaced under other names teams would have got less and less. A hub now removes entries of its domain's VMs that it has not heard for 60 s, unless they are more than half of the domain, and announces those again that live and have no entry; a VM that reads of its own removal announces itself. One that was away for longer than its configuration is confirmed serves no team, so its part is free.

--- a/src/services/fleet/directory.ts
+++ b/src/services/fleet/directory.ts
@@ -57,6 +57,9 @@
   readonly #parts: DirectoryReaderParts;
   #isRead = false;
   #isAnnounced = false;
+  #isLeaving = false;
+  /** Names whose entry was removed; one that comes back is announced again. */
+  readonly #removed = new Set<VmName>();
 
   /** Creates a reader that has read nothing. */
   constructor(parts: DirectoryReaderParts) {
@@ -137,26 +140,59 @@
 
   /** Withdraws this VM from the directory when it leaves. */
   async withdraw(): Promise<void> {
+    this.#isLeaving = true;
     if (!this.#isAnnounced) return;
     const { directory, self, logger } = this.#parts;
     const isWithdrawn = await directory.withdraw(self.name);
     if (!isWithdrawn) logger.warn("could not withdraw this VM");
   }
 
+  /** Removes the entry of a VM that has been away for long. */
+  async removeMissing(name: VmName): Promise<void> {
+    const { directory, logger } = this.#parts;
+    const isRemoved = await directory.withdraw(name);
+    logger.info("removes the entry of a missing VM", {
+      vmName: name,
+      isRemoved,
+    });
+  }
+
+  /** Announces a VM again that has come back after its entry was removed. */
+  async restore(vm: VmEntry): Promise<void> {
+    if (!this.#removed.delete(vm.name)) return;
+    const { directory, logger } = this.#parts;
+    const isAnnounced = await directory.announce(vm);
+    logger.info("announces a VM that is back", {
+      vmName: vm.name,
+      isAnnounced,
+    });
+    if (!isAnnounced) this.#removed.add(vm.name);
+  }
+
   #applyUpdates(updates: readonly VmUpdate[]): void {
     let isChanged = false;
     for (const update of updates) {
       switch (update.kind) {
         case VmUpdateKind.Announced:
+          this.#removed.delete(update.vm.name);
           if (this.#parts.list.add(update.vm)) isChanged = true;
           break;
         case VmUpdateKind.Withdrawn:
-          if (update.name !== this.#parts.self.name) {
-            this.#parts.list.remove(update.name);
-          }
+          this.#applyWithdrawn(update.name);
           break;
       }
     }
     if (isChanged) this.#parts.recordChange();
   }
+
+  #applyWithdrawn(name: VmName): void {
+    const { self, list } = this.#parts;
+    this.#removed.add(name);
+    // Others took this VM for dead; it must count for as long as it serves.
+    if (name === self.name) {
+      if (!this.#isLeaving) void this.restore(self);
+      return;
+    }
+    list.remove(name);
+  }
 }
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -25,6 +25,7 @@
 import type { FleetMessage, LiveVm, UsageKind, VmEntry } from "./message.ts";
 import { LoadReports } from "./load_reports.ts";
 import type { LoadSource } from "./load_reports.ts";
+import { MissingVms } from "./missing_vms.ts";
 import { VmList } from "./vm_list.ts";
 
 export { VmUpdateKind } from "./directory.ts";
@@ -69,6 +70,15 @@
 /** Time between two looks whether the directory was asked. */
 const DIRECTORY_CHECK_MS = 50;
 
+/**
+ * Time for which a VM may be away before its entry is removed. Replacements of
+ * VMs take less; one that was away for longer than its configuration is confirmed
+ * serves no team, so its part of their rates can go to the others.
+ */
+const MISSING_LIMIT_MS = 60_000;
+/** Time after which a VM that has no entry is announced by its hub, if it lives. */
+const UNLISTED_LIMIT_MS = 1_000;
+
 /** What the service works with. */
 export interface FleetParts {
   readonly clock: Clock;
@@ -109,6 +119,8 @@
   readonly #startedAt: number;
   #role = FleetRole.Searching;
   readonly #watch: HubWatch;
+  readonly #missing = new MissingVms(MISSING_LIMIT_MS);
+  readonly #unlisted = new MissingVms(UNLISTED_LIMIT_MS);
 
   /** Creates a fleet of this VM alone. */
   constructor(parts: FleetParts) {
@@ -296,6 +308,7 @@
       if (isDomainDue) domainAt = now;
       this.#exchange.recordOwn();
       this.#checkTurnedAway();
+      this.#settleDirectory(now);
       for (const link of this.#links) this.#sendBeat(link, isDomainDue, now);
       if (isHubRole(this.#getToldRole())) this.#connectDomains(signal);
       await clock.sleep(STATUS_INTERVAL_MS, signal);
@@ -339,6 +352,40 @@
     this.#setRole(FleetRole.Searching);
   }
 
+  /**
+   * Keeps the directory in step with who lives in this domain, as its hub.
+   *
+   * Entries of VMs that have been away for long are removed, unless they are most
+   * of the domain: it may be this VM that is cut off.
+   */
+  #settleDirectory(now: number): void {
+    if (!isHubRole(this.#role)) {
+      this.#missing.removeAll();
+      this.#unlisted.removeAll();
+      return;
+    }
+    const { self } = this.#parts;
+    const linked = new Set([...this.#links].map(({ vm }) => vm.name));
+    const others = this.#list.list().filter(({ name, failureDomain }) =>
+      failureDomain === self.failureDomain && name !== self.name
+    );
+    const missing = others.filter(({ name }) => !linked.has(name));
+    const isMost = 2 * missing.length > others.length;
+    const overdue = this.#missing
+      .listOverdue(isMost ? [] : missing.map(({ name }) => name), now);
+    for (const name of overdue) void this.#directory.removeMissing(name);
+    const unlisted = this.#exchange.listVms().filter(({ name, phase }) =>
+      phase !== VmPhase.Leaving && linked.has(name) &&
+      this.#list.find(name) === undefined
+    );
+    const late = new Set(
+      this.#unlisted.listOverdue(unlisted.map(({ name }) => name), now),
+    );
+    for (const { vm } of this.#links) {
+      if (late.delete(vm.name)) void this.#directory.restore(vm);
+    }
+  }
+
   #sendBeat(link: Link, isDomainDue: boolean, now: number): void {
     if (now - link.heardAt > getSilenceLimitMs(link)) {
       this.#parts.logger.warn("a link went silent", {
@@ -401,6 +448,7 @@
     logger.info("a link was opened", { peer: link.vm.name, link: kind });
     link.send({ kind: FleetMessageKind.VmsKnown, vms: this.#list.list() });
     if (kind === LinkKind.Follower) {
+      void this.#directory.restore(hello.vm);
       for (const listener of this.#followerListeners) listener(link);
     }
     await this.#readLink(link, messages);
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -540,3 +540,67 @@
     world.startVm(name);
   }
 }
+
+/** Time after which a VM that is away has lost its entry, and a margin. */
+const MISSING_MS = 75_000;
+
+// Guards against parts of a team's rate that dead VMs keep for ever.
+test("a VM that does not come back is not reckoned with any more", async () => {
+  const world = await createWorld();
+  const before = world.vms.length;
+  const [hub] = world.listHubs();
+  const dead = world.vms.find((vm) =>
+    vm !== hub && vm.fleet.self.failureDomain === hub?.fleet.self.failureDomain
+  );
+  if (dead === undefined) throw new Error("there is no follower");
+  world.killVm(dead);
+  await world.time.advance(MISSING_MS);
+  for (const vm of world.listHubs()) {
+    assert.equal(vm.fleet.countAnnounced(), before - 1, vm.name);
+  }
+});
+
+// Guards against a VM that serves and is not reckoned with.
+test("a VM that was cut off for long is reckoned with again", async () => {
+  const world = await createWorld();
+  const before = world.vms.length;
+  const hubs = world.listHubs();
+  const away = world.vms.find((vm) => !hubs.includes(vm));
+  if (away === undefined) throw new Error("there is no follower");
+  const setCut = (isCut: boolean): void => {
+    for (const { name } of world.vms) {
+      for (const [from, to] of [[name, away.name], [away.name, name]]) {
+        if (isCut) world.network.cut(from ?? "", to ?? "");
+        else world.network.restore(from ?? "", to ?? "");
+      }
+    }
+  };
+  setCut(true);
+  await world.time.advance(MISSING_MS);
+  // It reads the store by itself, and announces itself anew.
+  for (const vm of world.listHubs()) {
+    assert.equal(vm.fleet.countAnnounced(), before, `${vm.name}, cut`);
+  }
+  setCut(false);
+  await world.time.advance(SETTLE_MS);
+  for (const vm of world.listHubs()) {
+    assert.equal(vm.fleet.countAnnounced(), before, vm.name);
+  }
+});
+
+test("a VM that stood still for long is reckoned with again", async () => {
+  const world = await createWorld();
+  const before = world.vms.length;
+  const hubs = world.listHubs();
+  const asleep = world.vms.find((vm) => !hubs.includes(vm));
+  asleep?.clock.setPaused();
+  await world.time.advance(MISSING_MS);
+  for (const vm of world.listHubs()) {
+    assert.equal(vm.fleet.countAnnounced(), before - 1, `${vm.name}, asleep`);
+  }
+  asleep?.clock.setAwake();
+  await world.time.advance(SETTLE_MS);
+  for (const vm of world.listHubs()) {
+    assert.equal(vm.fleet.countAnnounced(), before, vm.name);
+  }
+});
