--- a/tests/quota_fleet_test.ts
+++ b/tests/quota_fleet_test.ts
@@ -94,7 +94,7 @@
 const SEEDS = parseSeeds(process.env["QUOTA_SEEDS"] ?? "1,7,37,55,91,97");
 /**
  * What all VMs together may admit beyond rate and burst in any window, in time
- * of the rate: tokens and statuses on their way, 400 ms each (docs/DESIGN.md).
+ * of the rate: tokens and statuses on their way, 400 ms each (docs/PLATFORM.md).
  */
 const BEYOND_MS = 800;
 /** Time between the ends of two bursts of the seeds with odd numbers. */
