Let the time in which a process starts make tokens

A VM began to make tokens when its quota service was created, and lost what it had made when it found a hub. A process has spent nothing before it began, so its time counts from then on; time that no request was decided on goes to the hub with the first status, which is sent at once, and a request that finds no hub waits 150 ms for one.

--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -1,4 +1,5 @@
 /** Wires what the VMs of a fleet do together, with a store behind them. */
+import process from "node:process";
 import type { Kernel } from "../../kernel/mod.ts";
 import { FLEET_CODEC } from "../../protocols/fleet/message_codec.ts";
 import { createWebSocketTransport } from "../../protocols/peer/ws_transport.ts";
@@ -32,6 +33,8 @@
  */
 const FRESHNESS_RATIO = 0.8;
 
+const MS_PER_SECOND = 1_000;
+
 /** Adds the services of the fleet. */
 export function addFleet(kernel: Kernel<Services>): void {
   addLinks(kernel);
@@ -208,6 +211,7 @@
       const configuration = find(ServiceName.Configuration);
       return new Quota({
         clock,
+        startedAt: clock.now() - process.uptime() * MS_PER_SECOND,
         exchange: createFleetTokens(fleet, clock),
         findLimits: (id) => {
           const { state } = configuration;
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -487,6 +487,8 @@
     const link = new Link(kind, hello, connection, clock.now());
     this.#links.add(link);
     logger.info("opened a link", { peer: link.vm.name, link: kind });
+    // A hub has a follower's part of the tokens from its first status on.
+    if (kind === LinkKind.Uplink) link.send(this.#exchange.createStatus(link));
     return { link, ended: this.#readLink(link, messages) };
   }
 
--- a/src/services/fleet/tokens.ts
+++ b/src/services/fleet/tokens.ts
@@ -51,12 +51,12 @@
 function getStanding(fleet: Fleet, now: number): Standing {
   switch (fleet.role) {
     case FleetRole.Searching:
-      return { kind: StandingKind.Alone };
+      return { kind: StandingKind.Alone, isSearching: true };
     case FleetRole.Follower: {
       const hub = fleet.listLinks(LinkKind.Uplink)
         .find((link) => isPrompt(link, now));
       return hub === undefined
-        ? { kind: StandingKind.Alone }
+        ? { kind: StandingKind.Alone, isSearching: false }
         : { kind: StandingKind.Follower, hub: createPeer(hub) };
     }
     case FleetRole.Hub: {
--- a/src/services/quota/mod.ts
+++ b/src/services/quota/mod.ts
@@ -25,6 +25,8 @@
  * that comes later is not spent, so it also bounds the tokens on their way.
  */
 const ASK_TIMEOUT_MS = 400;
+/** Time in which a VM without a hub finds one; a request waits so long for it. */
+const SEARCH_WAIT_MS = 150;
 /** Time for which a hub that answered too late is not asked; it doubles. */
 const SLOW_HUB_MIN_MS = 1_000;
 const SLOW_HUB_MAX_MS = 8_000;
@@ -62,6 +64,8 @@
 /** What the service works with. */
 export interface QuotaParts {
   readonly clock: Clock;
+  /** Monotonic time at which this process began; it has spent nothing before. */
+  readonly startedAt: number;
   readonly exchange: TokenExchange;
   /** Finds a team's limits in force; undefined for a team that is unknown. */
   readonly findLimits: (team: TeamId) => TeamLimits | undefined;
@@ -108,9 +112,8 @@
   /** Creates a service without a token. */
   constructor(parts: QuotaParts) {
     this.#parts = parts;
-    const now = parts.clock.now();
-    this.#mint = new Mint(now);
-    this.#beatAt = now;
+    this.#mint = new Mint(parts.startedAt);
+    this.#beatAt = parts.clock.now();
     parts.exchange.setKeeper(this);
   }
 
@@ -126,13 +129,7 @@
       }
       return this.#createWithin(team.id, limits, standing.kind, 1);
     }
-    switch (standing.kind) {
-      case StandingKind.Alone:
-      case StandingKind.Hub:
-        return await this.#takeOwn(team.id, limits, standing);
-      case StandingKind.Follower:
-        return await this.#takeOfHub(team.id, limits, standing.hub);
-    }
+    return await this.#takeOf(team.id, limits, standing);
   }
 
   recordBeat(): void {
@@ -216,6 +213,21 @@
     if (limits !== undefined) this.#getAccount(team, limits).add(1);
   }
 
+  /** Takes a token of whoever has this VM's part. */
+  async #takeOf(
+    team: TeamId,
+    limits: TeamLimits,
+    standing: Standing,
+  ): Promise<LimitDecision> {
+    switch (standing.kind) {
+      case StandingKind.Alone:
+      case StandingKind.Hub:
+        return await this.#takeOwn(team, limits, standing);
+      case StandingKind.Follower:
+        return await this.#takeOfHub(team, limits, standing.hub);
+    }
+  }
+
   /** Spends a token of this VM's own, or of its domain. */
   async #takeOwn(
     team: TeamId,
@@ -226,6 +238,11 @@
     if (await this.#takeOfAccount(team, limits, standing)) {
       return this.#createWithin(team, limits, standing.kind, tokens);
     }
+    if (isSearching(standing)) {
+      await this.#parts.clock.sleep(SEARCH_WAIT_MS);
+      const found = this.#updateStanding();
+      if (!isSearching(found)) return await this.#takeOf(team, limits, found);
+    }
     return createOver(
       this.#getAccount(team, limits).computeWaitMs(limits, this.#getPart()),
       this.#listInputs(limits, standing.kind, tokens),
@@ -437,10 +454,19 @@
     this.#accounts.delete(team);
     this.#accounts.set(team, account);
     if (known === undefined) this.#removeOldest();
+    this.#addOwnElapsed();
     this.#updateAccount(account, limits);
     return account;
   }
 
+  /** Adds this VM's own time, which it has not left to a hub. */
+  #addOwnElapsed(): void {
+    const holders = this.#parts.exchange.countHolders();
+    if (holders === undefined) return;
+    const elapsed = this.#mint.takeElapsed(this.#parts.clock.now());
+    this.#mint.add(elapsed, holders);
+  }
+
   #removeOldest(): void {
     if (this.#accounts.size <= TEAMS_KEPT) return;
     const oldest = this.#accounts.entries().next();
@@ -470,8 +496,8 @@
   }
 
   /**
-   * Looks who has this VM's part, adds its own time if it has it itself, and
-   * takes tokens off that belong to followers which have left.
+   * Looks who has this VM's part, and takes tokens off that belong to followers
+   * which have left.
    */
   #updateStanding(): Standing {
     const { clock, exchange } = this.#parts;
@@ -480,7 +506,7 @@
     const told = exchange.getStanding();
     const standing = now < this.#slowHubUntil &&
         told.kind === StandingKind.Follower
-      ? { kind: StandingKind.Alone } as const
+      ? { kind: StandingKind.Alone, isSearching: false } as const
       : told;
     const isHub = standing.kind === StandingKind.Hub && !isHeldUp;
     this.#notLeftMs = isHub ? standing.notLeftMs : 0;
@@ -489,16 +515,6 @@
       this.#standing !== StandingKind.Follower;
     if (isLeft) this.#removeAllAccounts();
     this.#standing = standing.kind;
-    const holders = exchange.countHolders();
-    switch (standing.kind) {
-      case StandingKind.Follower:
-        break;
-      case StandingKind.Alone:
-      case StandingKind.Hub: {
-        const elapsed = this.#mint.takeElapsed(now);
-        if (holders !== undefined) this.#mint.add(elapsed, holders);
-      }
-    }
     return standing;
   }
 
@@ -542,6 +558,10 @@
   }
 }
 
+function isSearching(standing: Standing): boolean {
+  return standing.kind === StandingKind.Alone && standing.isSearching;
+}
+
 function createOver(
   waitMs: number,
   inputs: Record<string, number | string>,
--- a/src/services/quota/quota_test.ts
+++ b/src/services/quota/quota_test.ts
@@ -31,8 +31,9 @@
   const team = createTeam(100, 100);
   const quota = new Quota({
     clock,
+    startedAt: now,
     exchange: {
-      getStanding: () => ({ kind: StandingKind.Alone }),
+      getStanding: () => ({ kind: StandingKind.Alone, isSearching: false }),
       countHolders: () => 10,
       setKeeper: () => {},
     },
--- a/src/services/quota/token_exchange.ts
+++ b/src/services/quota/token_exchange.ts
@@ -46,7 +46,11 @@
 
 /** Who has this VM's part of each team's rate, and whom it may ask. */
 export type Standing =
-  | { readonly kind: StandingKind.Alone }
+  | {
+    readonly kind: StandingKind.Alone;
+    /** Whether it looks for a hub; else its hub is too slow to be asked. */
+    readonly isSearching: boolean;
+  }
   | { readonly kind: StandingKind.Follower; readonly hub: TokenPeer }
   | {
     readonly kind: StandingKind.Hub;
--- a/tests/feed_world.ts
+++ b/tests/feed_world.ts
@@ -414,6 +414,7 @@
   #createLimiter(fleet: Fleet, clock: VirtualClock): TeamLimiter {
     return new Quota({
       clock,
+      startedAt: clock.now(),
       exchange: createFleetTokens(fleet, clock),
       findLimits: () => this.team,
     });
