--- a/src/protocols/fleet/message_codec.ts
+++ b/src/protocols/fleet/message_codec.ts
@@ -88,7 +88,6 @@
   id: count,
 });
 const tokenGrant = z.object({
-  team: name,
   count: z.number().min(0),
   id: count,
   waitMs: z.number().min(0),
@@ -108,7 +107,7 @@
     phase: z.enum(VmPhase),
     confirmedAgoMs: z.number().min(0).optional(),
     usage: usages,
-    leftMs: z.number().min(0),
+    leftMs: z.number().min(0).optional(),
   }),
   z.object({
     kind: z.literal(FleetMessageKind.Report),
--- a/src/services/fleet/exchange.ts
+++ b/src/services/fleet/exchange.ts
@@ -32,8 +32,8 @@
 export interface ElapsedTimeSource {
   /** Takes note that time passes. */
   recordBeat(): void;
-  /** Takes this VM's time since the last call, in milliseconds. */
-  takeElapsed(): number;
+  /** Takes this VM's time since the last call, in ms; undefined to keep it. */
+  takeElapsed(): number | undefined;
   /** Adds the time that a follower has left, in milliseconds. */
   addElapsed(ms: number): void;
 }
@@ -223,7 +223,7 @@
       phase: this.#getPhase(),
       confirmedAgoMs: this.#getConfirmedAgoMs(),
       usage: link.takeChangedUsage(this.#listUsage()),
-      leftMs: this.#elapsedTime?.takeElapsed() ?? 0,
+      leftMs: this.#elapsedTime?.takeElapsed(),
     };
   }
 
@@ -285,8 +285,9 @@
   /** Takes a follower's status. */
   applyStatus(status: Status, link: Link): void {
     const at = this.#parts.clock.now();
-    this.#elapsedTime?.addElapsed(status.leftMs);
-    link.status = { sentAt: status.sentAt, at };
+    const { sentAt, leftMs } = status;
+    if (leftMs !== undefined) this.#elapsedTime?.addElapsed(leftMs);
+    link.status = { sentAt, at, hasLeftTime: leftMs !== undefined };
     this.#recordFollowerRead(at - (status.confirmedAgoMs ?? Infinity));
     this.#phases.set(link.vm.name, status.phase);
     this.#domainUsage.record(formatOrigin(link.vm), status.usage);
--- a/src/services/fleet/link.ts
+++ b/src/services/fleet/link.ts
@@ -26,6 +26,16 @@
   Visitor = "visitor",
 }
 
+/** What is kept of a follower's status. */
+export interface FollowerStatus {
+  /** By the follower's clock. */
+  readonly sentAt: number;
+  /** When it arrived. */
+  readonly at: number;
+  /** Whether the follower leaves its part of teams' tokens to this VM. */
+  readonly hasLeftTime: boolean;
+}
+
 /** An open link. */
 export class Link {
   readonly kind: LinkKind;
@@ -38,8 +48,8 @@
   heardAt: number;
   /** Version of the list of live VMs that was last sent; -1 for none. */
   sentVmsVersion = -1;
-  /** Newest status of a follower: its `sentAt`, and when it arrived. */
-  status: { readonly sentAt: number; readonly at: number } | undefined;
+  /** Newest status of a follower. */
+  status: FollowerStatus | undefined;
   /** Age of the newest own status that the hub has answered, when it did. */
   answeredAfterMs = 0;
   readonly #connection: PeerConnection<FleetMessage>;
--- a/src/services/fleet/message.ts
+++ b/src/services/fleet/message.ts
@@ -120,8 +120,11 @@
   readonly confirmedAgoMs: number | undefined;
   /** Counts that have changed since the last status. */
   readonly usage: readonly Usage[];
-  /** Time whose tokens the sender leaves to its hub, in milliseconds. */
-  readonly leftMs: number;
+  /**
+   * Time whose tokens the sender leaves to its hub, in milliseconds; undefined
+   * while it keeps its part of them.
+   */
+  readonly leftMs: number | undefined;
 }
 
 /** A confirmation that no newer configuration existed, passed on. */
--- a/src/services/fleet/tokens.ts
+++ b/src/services/fleet/tokens.ts
@@ -60,9 +60,7 @@
         : { kind: StandingKind.Follower, hub: createPeer(hub) };
     }
     case FleetRole.Hub: {
-      const ages = fleet.listLinks(LinkKind.Follower)
-        .map(({ status }) => now - (status?.at ?? -Infinity))
-        .filter((age) => age <= FOLLOWER_HEARD_MS);
+      const ages = listFollowerAges(fleet, now);
       return {
         kind: StandingKind.Hub,
         followers: ages.length,
@@ -73,6 +71,18 @@
   }
 }
 
+/** Lists how old the newest status of each follower is, by VM. */
+function listFollowerAges(fleet: Fleet, now: number): number[] {
+  const ages = new Map<string, number>();
+  for (const { vm, status } of fleet.listLinks(LinkKind.Follower)) {
+    if (status === undefined || !status.hasLeftTime) continue;
+    const age = now - status.at;
+    if (age > FOLLOWER_HEARD_MS) continue;
+    ages.set(vm.name, Math.min(age, ages.get(vm.name) ?? age));
+  }
+  return [...ages.values()];
+}
+
 function isPrompt(link: Link, now: number): boolean {
   return now - link.heardAt <= HUB_HEARD_MS &&
     link.answeredAfterMs <= HUB_HEARD_MS;
--- a/src/services/quota/token_exchange.ts
+++ b/src/services/quota/token_exchange.ts
@@ -14,7 +14,6 @@
 
 /** Answers an ask; the giver has set the tokens aside. */
 export interface TokenGrant {
-  readonly team: TeamId;
   /** Tokens that are given, those to hold ready included; 0 for none. */
   readonly count: number;
   /** The ask's `id`. */
@@ -73,10 +72,11 @@
   /** Takes note that time passes, at each beat of the fleet. */
   recordBeat(): void;
   /**
-   * Takes the time whose tokens this VM leaves to its hub, in milliseconds. No
-   * time is taken twice, and none that this VM has made tokens of itself.
+   * Takes the time whose tokens this VM leaves to its hub, in milliseconds;
+   * undefined while it keeps its part itself. No time is taken twice, and none
+   * that this VM has made tokens of.
    */
-  takeElapsed(): number;
+  takeElapsed(): number | undefined;
   /** Adds time that a follower has left to this VM, in milliseconds. */
   addElapsed(ms: number): void;
   /** Answers an ask of another VM. */
