Test tokens, holdings and followers' parts one by one

Accounts by random events, room for what is elsewhere, forgotten teams, tokens given up after a pause, late tokens; which followers a hub counts.

--- /dev/null
+++ b/src/services/fleet/tokens_test.ts
@@ -0,0 +1,53 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Clock } from "../clock/mod.ts";
+import { StandingKind } from "../quota/token_exchange.ts";
+import { FleetRole, LinkKind } from "./mod.ts";
+import type { Fleet, Link } from "./mod.ts";
+import { createFleetTokens } from "./tokens.ts";
+
+const NOW = 10_000;
+
+/** What a hub is told by one follower's link. */
+interface FollowerLink {
+  readonly vm: string;
+  readonly ageMs: number;
+  readonly hasLeftTime?: boolean;
+}
+
+/** Counts the followers whose part of the tokens a hub has. */
+function countFollowers(links: readonly FollowerLink[]): number {
+  const followers = links.map(({ vm, ageMs, hasLeftTime = true }) => ({
+    vm: { name: vm },
+    status: { sentAt: 0, at: NOW - ageMs, hasLeftTime },
+  })) as unknown as Link[];
+  const fleet = {
+    role: FleetRole.Hub,
+    listLinks: (kind: LinkKind) => kind === LinkKind.Follower ? followers : [],
+  } as unknown as Fleet;
+  const clock = { now: () => NOW } as unknown as Clock;
+  const standing = createFleetTokens(fleet, clock).getStanding();
+  assert.equal(standing.kind, StandingKind.Hub);
+  return standing.kind === StandingKind.Hub ? standing.followers : -1;
+}
+
+// Guards against a burst that a hub saves up for VMs that save it up, too.
+test("a follower that keeps its part of the tokens is not counted", () => {
+  const links = [
+    { vm: "a", ageMs: 10 },
+    { vm: "b", ageMs: 10, hasLeftTime: false },
+  ];
+  assert.equal(countFollowers(links), 1);
+});
+
+// Guards against the part of a VM that has started again, counted twice.
+test("a follower with two links is counted once", () => {
+  const links = [{ vm: "a", ageMs: 500 }, { vm: "a", ageMs: 10 }];
+  assert.equal(countFollowers(links), 1);
+});
+
+// Guards against a part that a follower takes to its next hub.
+test("a follower that was not heard for 0.7 s is not counted", () => {
+  const links = [{ vm: "a", ageMs: 700 }, { vm: "b", ageMs: 701 }];
+  assert.equal(countFollowers(links), 1);
+});
--- /dev/null
+++ b/src/services/quota/token_account_test.ts
@@ -0,0 +1,129 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createSeededRandom } from "../random/mod.ts";
+import { Accounts, TEAMS_KEPT } from "./accounts.ts";
+import { HeldTokens } from "./held_tokens.ts";
+import { OpenAsks } from "./open_asks.ts";
+import { TokenAccount } from "./token_account.ts";
+import type { AccountPart } from "./token_account.ts";
+import type { TokenAsk, TokenPeer } from "./token_exchange.ts";
+
+const LIMITS = { ratePerSecond: 20, burst: 20 };
+const ALL: AccountPart = { vms: 10, formerVms: 10, notLeftMs: 0, holders: 10 };
+
+/** A clock whose timers run when it is set on. */
+function createClock() {
+  let now = 0;
+  const timers: { at: number; run: () => void }[] = [];
+  return {
+    now: () => now,
+    wallNow: () => now,
+    sleep: () => Promise.resolve(),
+    startTimer: (ms: number, run: () => void) => {
+      const timer = { at: now + ms, run };
+      timers.push(timer);
+      return () => void timers.splice(timers.indexOf(timer), 1);
+    },
+    advance: (ms: number) => {
+      now += ms;
+      for (const timer of timers.filter(({ at }) => at <= now)) timer.run();
+    },
+  };
+}
+
+test("an account spends its rate and one burst, whatever the order of events", () => {
+  for (const seed of [1, 2, 3, 4, 5]) {
+    const random = createSeededRandom(seed);
+    const account = new TokenAccount(0);
+    let spent = 0;
+    let lent = 0;
+    let now = 0;
+    for (let step = 0; step < 2_000; step += 1) {
+      now += random() * 30;
+      // A tenth of ten VMs' time: all of it.
+      account.update(LIMITS, ALL, now, now);
+      if (random() < 0.6 && account.take()) spent += 1;
+      if (random() < 0.1) lent += account.lend(random() * 3, random() * 5);
+      const most = LIMITS.burst + LIMITS.ratePerSecond * now / 1_000;
+      assert.ok(spent + lent <= most + 1e-6, `seed ${seed} at ${now}`);
+    }
+  }
+});
+
+test("an account has no room for tokens that are elsewhere", () => {
+  const account = new TokenAccount(0);
+  assert.equal(account.openLoan(100, LIMITS, ALL, 0), 20);
+  account.update(LIMITS, ALL, 5_000, 5_000);
+  assert.equal(account.level, 0, "room is kept for the loan");
+  account.settleLoan(4);
+  assert.equal(account.level, 4);
+  account.update(LIMITS, { ...ALL, notLeftMs: 2_000 }, 9_000, 9_000);
+  assert.equal(account.level, 16, "followers have 0.2 s of the rate");
+  account.holdings.set("vm-1", 1, 10_000);
+  account.update(LIMITS, ALL, 9_500, 9_500);
+  assert.equal(account.level, 19, "a follower holds one ready");
+  account.update(LIMITS, ALL, 10_000, 10_000);
+  assert.equal(account.level, 20, "which it can't spend any more");
+});
+
+// Guards against a team that is forgotten and comes back with a full bucket.
+test("a team that was forgotten has no token again", () => {
+  const clock = createClock();
+  const accounts = new Accounts({
+    clock,
+    startedAt: 0,
+    countHolders: () => 1,
+    findLimits: () => LIMITS,
+  });
+  clock.advance(1_000);
+  const account = accounts.get("team", LIMITS);
+  while (account.take());
+  for (let index = 0; index <= TEAMS_KEPT; index += 1) {
+    accounts.get(`other-${index}`, LIMITS);
+  }
+  assert.equal(accounts.get("team", LIMITS).level, 0);
+});
+
+// Guards against tokens that this VM still has when it goes on after a pause.
+test("a VM that has its own part alone gives up the others' at once", () => {
+  const clock = createClock();
+  const accounts = new Accounts({
+    clock,
+    startedAt: 0,
+    countHolders: () => 10,
+    findLimits: () => LIMITS,
+  });
+  accounts.setPart(10, 0, true);
+  for (let vm = 0; vm < 10; vm += 1) accounts.addElapsed(1_000);
+  const account = accounts.get("team", LIMITS);
+  assert.equal(account.level, 20);
+  accounts.setPart(4, 0, true);
+  assert.equal(account.level, 20, "followers that vanished may have died");
+  accounts.setPart(1, 0, false);
+  assert.equal(account.level, 2);
+});
+
+// Guards against a token that is on its way for longer than any room allows.
+test("a token that comes too late is not spent", async () => {
+  const clock = createClock();
+  const asks = new OpenAsks(clock);
+  const held = new HeldTokens(clock, asks);
+  const sent: TokenAsk[] = [];
+  const hub: TokenPeer = {
+    vm: "hub",
+    sendAsk: (ask) => void sent.push(ask),
+    sendGrant: () => {},
+    sendReturned: () => {},
+  };
+  const late = held.claim("team", hub, 1);
+  clock.advance(400);
+  assert.equal(await late, undefined);
+  asks.applyGrant({ id: sent[0]?.id ?? 0, count: 2, waitMs: 0 });
+  assert.equal(held.take("team"), false);
+  const prompt = held.claim("team", hub, 1);
+  asks.applyGrant({ id: sent[1]?.id ?? 0, count: 2, waitMs: 0 });
+  await prompt;
+  assert.equal(held.take("team"), true);
+  clock.advance(4_000);
+  assert.equal(held.take("team"), false, "one held ready expires");
+});
