--- a/tests/leaving_servers_test.ts
+++ b/tests/leaving_servers_test.ts
@@ -8,6 +8,7 @@
   LINK_TROUBLE,
   STORE_TROUBLE,
 } from "./leaving_scenario.ts";
+import { parseSeeds } from "./seeds.ts";
 import type { ScenarioOptions } from "./leaving_scenario.ts";
 
 const STEP_MS = 100;
@@ -20,13 +21,6 @@
 /** Lines about a server that are shown when a seed breaks the bound. */
 const LINES_SHOWN = 30;
 
-function parseSeeds(text: string): number[] {
-  return text.split(",").flatMap((part) => {
-    const [first = NaN, last = first] = part.split("-").map(Number);
-    return Array.from({ length: last - first + 1 }, (_, at) => first + at);
-  });
-}
-
 /** Formats the newest lines of the VMs that are named first in `late`. */
 function formatLines(world: World, late: readonly string[]): string {
   const vm = late[0]?.split(",")[0];
--- a/tests/quota_fleet_test.ts
+++ b/tests/quota_fleet_test.ts
@@ -10,6 +10,7 @@
   runQuotaPlay,
   WINDOW_MS,
 } from "./quota_scenario.ts";
+import { parseSeeds } from "./seeds.ts";
 import type { QuotaFault, QuotaOutcome, QuotaPlay } from "./quota_scenario.ts";
 
 const RATE = 66;
@@ -100,13 +101,6 @@
 /** Time between the ends of two bursts of the seeds with odd numbers. */
 const BURST_MS = 2_500;
 
-function parseSeeds(text: string): number[] {
-  return text.split(",").flatMap((part) => {
-    const [first = NaN, last = first] = part.split("-").map(Number);
-    return Array.from({ length: last - first + 1 }, (_, at) => first + at);
-  });
-}
-
 /** Steady calls beyond the rate, or bursts that find a full bucket. */
 function createRate(seed: number, rate: number): (ms: number) => number {
   if (seed % 2 === 0) return (ms) => ms < 2_000 ? 0.6 * rate : 5 * rate;
--- /dev/null
+++ b/tests/seeds.ts
@@ -0,0 +1,9 @@
+/** Seeds that a test plays, as an environment variable names them. */
+
+/** Parses seeds and ranges of them such as `1,5,10-20`. */
+export function parseSeeds(text: string): number[] {
+  return text.split(",").flatMap((part) => {
+    const [first = NaN, last = first] = part.split("-").map(Number);
+    return Array.from({ length: last - first + 1 }, (_, at) => first + at);
+  });
+}
