Let a request wait for a token that is expected within 250 ms

A request that found no token was refused although the next one was a moment away: a team's callers are spread, its tokens lie in three hubs, and after kills they come anew. A request now waits in order if its token is expected within 250 ms, and is refused at once otherwise.

--- a/src/services/quota/mod.ts
+++ b/src/services/quota/mod.ts
@@ -18,6 +18,13 @@
   TokenPeer,
 } from "./token_exchange.ts";
 
+/**
+ * Longest wait for a token that is expected, with what the hub's answer takes
+ * below the time that a follower waits for it.
+ */
+const QUEUE_MAX_MS = 250;
+/** How much later than expected a token may come: followers' time is in lumps. */
+const QUEUE_SLACK_MS = 50;
 /** Time in which a VM without a hub finds one; a request waits so long for it. */
 const SEARCH_WAIT_MS = 150;
 /** Time for which a hub that answered too late is not asked; it doubles. */
@@ -198,20 +205,31 @@
     return this.#createOver(limits, standing.kind, tokens, waitMs);
   }
 
-  /** Takes a token of this VM's account, if need be once others have lent. */
+  /** Takes a token of this VM's account, once there is one if that is soon. */
   async #takeOfAccount(
     team: TeamId,
     limits: TeamLimits,
     standing: Standing,
   ): Promise<boolean> {
+    const { clock } = this.#parts;
     const account = this.#accounts.get(team, limits);
-    account.recordAsked(this.#parts.clock.now());
+    account.recordAsked(clock.now());
     const isTaken = account.take();
-    if (standing.kind !== StandingKind.Hub) return isTaken;
-    this.#borrowing.start(team, account, limits, standing.hubs);
-    if (isTaken || account.borrowing === undefined) return isTaken;
-    await account.borrowing;
-    return this.#accounts.get(team, limits).take();
+    if (standing.kind === StandingKind.Hub) {
+      this.#borrowing.start(team, account, limits, standing.hubs);
+    }
+    if (isTaken) return true;
+    if (account.borrowing !== undefined) {
+      await account.borrowing;
+      if (this.#accounts.get(team, limits).take()) return true;
+    }
+    const waitMs = account.computeWaitMs(limits, this.#accounts.part);
+    if (waitMs > QUEUE_MAX_MS) return false;
+    account.addWaiter();
+    await clock.sleep(waitMs + QUEUE_SLACK_MS);
+    this.#updateStanding();
+    this.#accounts.get(team, limits);
+    return account.takeAsWaiter();
   }
 
   /** Asks the hub for a token, and waits for its answer. */
--- a/src/services/quota/token_account.ts
+++ b/src/services/quota/token_account.ts
@@ -42,8 +42,8 @@
   #minted: number;
   /** Tokens on their way from another hub, for which room is kept. */
   #loan = 0;
-  /** Followers that were told to ask again and have got no token since. */
-  #waiting = 0;
+  /** Requests that wait for the next tokens, in their order. */
+  #waiters = 0;
   /** Ends when other hubs have lent tokens, or not; undefined while unasked. */
   borrowing: Promise<void> | undefined;
   /** When other hubs may be asked again, and the delay after that. */
@@ -104,11 +104,23 @@
     return this.take();
   }
 
-  /** Spends one token, if there is one. */
+  /** Spends one token, if there is one that no request waits for. */
   take(): boolean {
+    if (this.#level < 1 + this.#waiters) return false;
+    this.#level -= 1;
+    return true;
+  }
+
+  /** Lets a request wait for the next token that is free. */
+  addWaiter(): void {
+    this.#waiters += 1;
+  }
+
+  /** Ends a request's wait; spends a token, if there is one. */
+  takeAsWaiter(): boolean {
+    this.#waiters -= 1;
     if (this.#level < 1) return false;
     this.#level -= 1;
-    this.#waiting = Math.max(0, this.#waiting - 1);
     return true;
   }
 
@@ -156,14 +168,12 @@
     this.#loan = 0;
   }
 
-  /** Computes when one more follower that finds nothing may ask again. */
+  /** Computes when the next token is free, in milliseconds. */
   computeWaitMs(limits: TeamLimits, part: AccountPart): number {
     const isLent = this.borrowDelayMs === 0;
     const share = isLent ? 1 : part.vms / part.holders;
-    const perSecond = limits.ratePerSecond * share;
-    const missing = 1 - Math.min(1, this.#level) + this.#waiting;
-    this.#waiting = Math.min(part.vms, this.#waiting + 1);
-    return MS_PER_SECOND * missing / perSecond;
+    const missing = Math.max(0, 1 + this.#waiters - this.#level);
+    return MS_PER_SECOND * missing / (limits.ratePerSecond * share);
   }
 
   /**
--- a/tests/operations_test.ts
+++ b/tests/operations_test.ts
@@ -38,10 +38,17 @@
     { name: "judges", keys: [KEY] },
     { name: "stewards", keys: [LIMITED_KEY], ratePerS: 1, burst: 1 },
   ]);
-  await waitUntil(async () => {
-    const path = "/look/ready";
-    return (await sendToVm(getVm(), { path, key: KEY })).status === 200;
-  }, START_LIMIT_MS);
+  try {
+    await waitUntil(async () => {
+      const path = "/look/ready";
+      return (await sendToVm(getVm(), { path, key: KEY })).status === 200;
+    }, START_LIMIT_MS);
+  } catch (error) {
+    const { exitCode } = getVm().process;
+    throw new Error(`exit code ${exitCode}; the daemon wrote:\n${log}`, {
+      cause: error,
+    });
+  }
 });
 
 after(async () => {
