Give ports to a test's fleet that no other fleet is given

Ports were drawn at random and released before the daemons listen on them, a second or two later; another process may be given the same ones meanwhile. Each process now takes ranges of ports, and holds one port of a range for as long as it runs.

--- a/scripts/processes.ts
+++ b/scripts/processes.ts
@@ -3,7 +3,6 @@
 import type { ChildProcess } from "node:child_process";
 import { once } from "node:events";
 import net from "node:net";
-import type { AddressInfo } from "node:net";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
 
@@ -88,20 +87,56 @@
  */
 const PORT_MIN = 16_000;
 const PORT_MAX = 32_000;
+/** Ports that a process takes at a time; a fleet of five daemons needs 25. */
+const PORTS_PER_RANGE = 100;
 
-/** Finds `count` TCP ports that are free on the loopback address. */
+/** Ranges after which a process uses its first one again; 60 daemons need 3. */
+const RANGES_MAX = 8;
+
+/** First ports of the ranges that this process has taken. */
+const ranges: number[] = [];
+let portsTaken = 0;
+
+/**
+ * Finds ports of the loopback address on which nobody listens.
+ *
+ * Others that look for ports find other ones, also while the daemons that will
+ * listen on these are still starting.
+ */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const servers: net.Server[] = [];
-  while (servers.length < count) {
-    const port = PORT_MIN + Math.floor(Math.random() * (PORT_MAX - PORT_MIN));
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = await takePort();
     const server = await openServer(port);
-    if (server !== undefined) servers.push(server);
+    if (server === undefined) continue;
+    server.close();
+    ports.push(port);
   }
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  for (const server of servers) server.close();
   return ports;
 }
 
+async function takePort(): Promise<number> {
+  const perRange = PORTS_PER_RANGE - 1;
+  const index = Math.floor(portsTaken / perRange) % RANGES_MAX;
+  const port = 1 + portsTaken % perRange;
+  portsTaken += 1;
+  if (ranges[index] === undefined) ranges[index] = await claimRange();
+  return (ranges[index] ?? PORT_MIN) + port;
+}
+
+/** Claims a range by listening on its first port until this process ends. */
+async function claimRange(): Promise<number> {
+  const count = (PORT_MAX - PORT_MIN) / PORTS_PER_RANGE;
+  while (true) {
+    const range = Math.floor(Math.random() * count);
+    const first = PORT_MIN + range * PORTS_PER_RANGE;
+    const server = await openServer(first);
+    if (server === undefined) continue;
+    server.unref();
+    return first;
+  }
+}
+
 /** Listens on a port; undefined when it is taken. */
 function openServer(port: number): Promise<net.Server | undefined> {
   const server = net.createServer();
