--- /dev/null
+++ b/tests/quota_loads.ts
@@ -0,0 +1,48 @@
+/** Loads of one team, judged by the users' contract. */
+import assert from "node:assert/strict";
+import { getWindowLimit, runQuotaPlay } from "./quota_scenario.ts";
+import type { QuotaFault, QuotaOutcome, QuotaPlay } from "./quota_scenario.ts";
+
+/** Share of the requests within a team's rate that may be refused. */
+const REFUSED_MAX = 0.005;
+const WARM_UP_MS = 2_000;
+
+/** A team's load, and what befalls VMs meanwhile. */
+export interface Load {
+  readonly vms: number;
+  /** Rate and burst of the team, each in requests and a second. */
+  readonly limit: number;
+  readonly seconds: number;
+  readonly seed: number;
+  readonly getRate: (ms: number) => number;
+  readonly pickVm?: QuotaPlay["pickVm"];
+  readonly faults?: readonly QuotaFault[];
+}
+
+function runLoad(load: Load): Promise<QuotaOutcome> {
+  const { vms, limit, seconds, seed, getRate, pickVm, faults = [] } = load;
+  return runQuotaPlay({
+    vms,
+    ratePerSecond: limit,
+    burst: limit,
+    lengthMs: seconds * 1_000,
+    warmUpMs: WARM_UP_MS,
+    seed,
+    getRate,
+    ...(pickVm !== undefined && { pickVm }),
+    faults,
+  });
+}
+
+/** Checks that no window holds more than the users' contract allows. */
+export async function checkWindow(load: Load): Promise<void> {
+  const { worstWindow } = await runLoad(load);
+  const most = getWindowLimit(load.limit, load.limit);
+  assert.ok(worstWindow <= most, `${worstWindow} of ${most}`);
+}
+
+/** Checks that a team within its rate is hardly refused. */
+export async function checkRefused(load: Load): Promise<void> {
+  const { asked, refused } = await runLoad(load);
+  assert.ok(refused <= REFUSED_MAX * asked, `${refused} of ${asked}`);
+}
