Review: responses without a body use up a worker's connections

After eight responses 204 (or 304, or to HEAD) from one worker, a machine sends it no further requests until the worker closes the connections: they are never read to their end, so the agent keeps them. Requests that wait for their turn at that worker aren't dropped at their deadline; while one tenant sends 7.5 times its usual, dozens get no answer at all.

--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -7,8 +7,13 @@
 
 const QUEUE_LIMIT = 16;
 
-/** Starts a worker; `onRun` is called when it begins to work on a request. */
-export async function startWorker({ host, id, slots, getWorkMs, onRun }) {
+/**
+ * Starts a worker; `onRun` is called when it begins to work on a request. It
+ * answers a request for which `isEmpty` is true with 204, which has no body.
+ */
+export async function startWorker(
+  { host, id, slots, getWorkMs, onRun, isEmpty = () => false },
+) {
   let running = 0;
   const waiting = [];
   const getLoad = () => `${running},${waiting.length},${slots}`;
@@ -68,13 +73,20 @@
         setTimeout(resolve, Math.min(workMs, leftMs))
       );
       const isLate = workMs > leftMs;
-      const answer = JSON.stringify({ bytes: body.length, sha256 });
-      response.writeHead(isLate ? 504 : 200, {
+      const signed = {
         ...common,
         "rhubarbwall-server-load": getLoad(),
         "rhubarbwall-response-signature": `signed-by-${id}`,
-        "content-length": String(answer.length),
-      }).end(answer);
+      };
+      if (!isLate && isEmpty(request.url)) {
+        response.writeHead(204, signed).end();
+      } else {
+        const answer = JSON.stringify({ bytes: body.length, sha256 });
+        response.writeHead(isLate ? 504 : 200, {
+          ...signed,
+          "content-length": String(answer.length),
+        }).end(answer);
+      }
     }
     running -= 1;
     waiting.shift()?.();
