--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -9,6 +9,24 @@
 
 const ROOT = fileURLToPath(new URL("../../", import.meta.url));
 
+/** Exit code of a case that couldn't run. */
+const EXIT_NOT_RUN = 2;
+const children = new Set();
+
+// Whatever ends a case, no process that it started stays.
+process.on("exit", () => {
+  for (const child of children) child.kill("SIGKILL");
+});
+for (const event of ["uncaughtException", "unhandledRejection"]) {
+  process.on(event, (cause) => {
+    console.error(cause);
+    process.exit(EXIT_NOT_RUN);
+  });
+}
+for (const signal of ["SIGTERM", "SIGINT"]) {
+  process.on(signal, () => process.exit(EXIT_NOT_RUN));
+}
+
 /** Bounds of the users' pages. */
 const BOUNDS = {
   Revoke: "5000ms",
@@ -99,6 +117,8 @@
       env,
       stdio: ["ignore", "pipe", "ignore"],
     });
+    children.add(child);
+    child.once("exit", () => children.delete(child));
     let rest = "";
     child.stdout.on("data", (chunk) => {
       const lines = (rest + chunk).split("\n");
