--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # has to be compiled. This checks that each of them can be parsed.
 set -e
 cd "$(dirname "$0")"
-for file in lib/*.mjs [0-9]*/*.mjs; do
+for file in *.mjs [0-9]*/*.mjs; do
   [ -e "$file" ] || continue
   node --check "$file"
 done
--- a/review/lib/client.mjs
+++ b/review/client.mjs
@@ -2,7 +2,10 @@
 import { randomBytes } from "node:crypto";
 import http from "node:http";
 
-/** Sends one request; resolves to its answer, or to an error's code. */
+/**
+ * Sends one request; resolves to its answer, or to an error's code. `isKept` is
+ * whether it went out on a connection that had been used before.
+ */
 export function send(options, chunks = []) {
   return new Promise((resolve) => {
     const request = http.request(options, (response) => {
@@ -18,12 +21,20 @@
         });
       });
     });
-    request.on("error", (error) => resolve({ error: error.code }));
+    request.on(
+      "error",
+      (error) => resolve({ error: error.code, isKept: request.reusedSocket }),
+    );
     for (const chunk of chunks) request.write(chunk);
     request.end();
   });
 }
 
+/** Whether the machine closed the connection; the client didn't leave. */
+export function isClosedByMachine({ status, error }) {
+  return status === undefined && error !== "ABORT_ERR";
+}
+
 /** Splits `host:port` into the options of a request. */
 export function parseAddress(address) {
   const [host, port] = address.split(":");
--- a/review/lib/fleet.mjs
+++ b/review/fleet.mjs
@@ -7,7 +7,7 @@
 import net from "node:net";
 import { fileURLToPath } from "node:url";
 
-const ROOT = fileURLToPath(new URL("../../", import.meta.url));
+const ROOT = fileURLToPath(new URL("../", import.meta.url));
 
 /** Exit code of a case that couldn't run. */
 const EXIT_NOT_RUN = 2;
