Let no input and no repeated signal end a process

Cause: request listeners threw on a target such as //:80/path, and nothing caught that; a second SIGTERM ended the process with its requests in progress. Change: listeners run their handlers in a boundary of the lifecycle manager, which answers 400 or 500, logs peer and cause and counts; later stop signals are logged and ignored; uncaught exceptions are counted, and the planned stop runs if they go on. Paths with empty or dot segments are accepted unless their normalized form belongs to another route.

--- a/src/daemon/run.ts
+++ b/src/daemon/run.ts
@@ -4,7 +4,10 @@
 import { hideBin } from "yargs/helpers";
 import { STOP_GRACE_RATIO } from "../services/planned_stop/shutdown.ts";
 import { createSystemClock } from "../services/clock/mod.ts";
+import type { Clock } from "../services/clock/mod.ts";
 import { createLogging, formatCause } from "../services/logging/mod.ts";
+import type { Logger } from "../services/logging/mod.ts";
+import { Counter, Metrics } from "../services/metrics/mod.ts";
 import {
   DAEMON_FLAGS,
   formatVariable,
@@ -13,7 +16,13 @@
 } from "../settings/mod.ts";
 import type { DaemonSettings } from "../settings/mod.ts";
 import { ENVIRONMENT_PREFIX } from "../constants.ts";
-import { setReloadHandler } from "./signals.ts";
+import {
+  requestStop,
+  setReloadHandler,
+  setRepeatedStopHandler,
+  stopRequested,
+} from "./signals.ts";
+import { ExceptionAction, UncaughtExceptions } from "./uncaught_exceptions.ts";
 import { createDaemonKernel } from "./wiring/mod.ts";
 
 const EXIT_FAILURE = 1;
@@ -52,19 +61,26 @@
   logger.info(`starting as incarnation ${settings.incarnation}`, {
     incarnation: settings.incarnation,
   });
+  const metrics = new Metrics();
   const kernel = createDaemonKernel({
     settings,
+    metrics,
     logging,
     observer: {
       recordFailure: (owner, cause) =>
         logger.error(`${owner} failed: ${formatCause(cause)}`),
+      recordHandlerFailure: (owner, peer, cause) => {
+        metrics.add(Counter.HandlerErrors, owner);
+        logger.warn(`${owner} could not handle input: ${formatCause(cause)}`, {
+          peer,
+        });
+      },
     },
   });
-  // Each task serves one connection or peer; its failure must end no other.
-  process.on("unhandledRejection", (cause) => {
-    logger.error(`a task failed unexpectedly: ${formatCause(cause)}`);
+  handleUncaught(metrics, clock, logger);
+  setRepeatedStopHandler((signal) => {
+    logger.info("already stopping; ignored another stop signal", { signal });
   });
-  const stopRequested = waitForSignal();
   setReloadHandler(() => {
     logger.info("ignored SIGHUP; settings are read only at the start", {
       incarnation: settings.incarnation,
@@ -76,10 +92,8 @@
     failureDomain: settings.failureDomain,
     backing: settings.backing,
   });
-  await stopRequested;
-  process.once("SIGTERM", () => process.exit(EXIT_FAILURE));
-  process.once("SIGINT", () => process.exit(EXIT_FAILURE));
-  logger.info("received a stop signal; stopping");
+  const signal = await stopRequested;
+  logger.info("received a stop signal; stopping", { signal });
   const isStopped = await kernel.stop(
     clock.sleep(settings.graceMs * STOP_GRACE_RATIO),
   );
@@ -91,11 +105,26 @@
   process.exit(isStopped ? 0 : EXIT_FAILURE);
 }
 
-function waitForSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    process.once("SIGTERM", () => resolve());
-    process.once("SIGINT", () => resolve());
-  });
+/**
+ * Handles errors that reach the top of the process. Each task serves one
+ * connection or peer, so the failure of one ends no other; if failures go on,
+ * the process stops as planned and the platform starts it again.
+ */
+function handleUncaught(metrics: Metrics, clock: Clock, logger: Logger): void {
+  const exceptions = new UncaughtExceptions();
+  const handle = (cause: unknown): void => {
+    metrics.add(Counter.UncaughtExceptions);
+    const action = exceptions.record(clock.now());
+    logger.error(`uncaught exception: ${formatCause(cause)}`, { action });
+    switch (action) {
+      case ExceptionAction.Continue:
+        return;
+      case ExceptionAction.Stop:
+        return requestStop("SIGTERM");
+    }
+  };
+  process.on("unhandledRejection", handle);
+  process.on("uncaughtException", handle);
 }
 
 /** Runs the daemon with this process's flags and environment variables. */
--- a/src/daemon/wiring/basics.ts
+++ b/src/daemon/wiring/basics.ts
@@ -7,7 +7,7 @@
 import type { Services } from "../../services/catalog.ts";
 import { createSystemClock } from "../../services/clock/mod.ts";
 import type { Logging } from "../../services/logging/mod.ts";
-import { Metrics } from "../../services/metrics/mod.ts";
+import type { Metrics } from "../../services/metrics/mod.ts";
 import { createSystemRandom } from "../../services/random/mod.ts";
 import type { DaemonSettings } from "../../settings/mod.ts";
 
@@ -17,6 +17,8 @@
   settings: DaemonSettings;
   /** Creates the loggers of all services. */
   logging: Logging;
+  /** Counters that exist before the kernel, so that its failures count. */
+  metrics: Metrics;
 }
 
 /** Adds the services that all others depend on. */
@@ -47,6 +49,6 @@
   kernel.add(createServiceDefinition({
     name: ServiceName.Metrics,
     dependencies: [],
-    create: () => new Metrics(),
+    create: () => options.metrics,
   }));
 }
--- a/src/daemon/wiring/callers.ts
+++ b/src/daemon/wiring/callers.ts
@@ -22,10 +22,11 @@
   kernel.add(createServiceDefinition({
     name: ServiceName.CallerServer,
     dependencies: [ServiceName.Settings],
-    create: (find) =>
+    create: (find, scope) =>
       createHttpCallerServer(
         find(ServiceName.Settings).callerListen,
         dialect,
+        scope.createBoundary(),
       ),
   }));
   kernel.add(createServiceDefinition({
--- a/src/daemon/wiring/cell.ts
+++ b/src/daemon/wiring/cell.ts
@@ -35,11 +35,12 @@
   kernel.add(createServiceDefinition({
     name: ServiceName.PeerTransport,
     dependencies: [ServiceName.Settings],
-    create: (find) =>
-      createWebSocketTransport(find(ServiceName.Settings).peerListen, {
-        encode: encodeMessage,
-        decode: decodeMessage,
-      }),
+    create: (find, scope) =>
+      createWebSocketTransport(
+        find(ServiceName.Settings).peerListen,
+        { encode: encodeMessage, decode: decodeMessage },
+        scope.createBoundary(),
+      ),
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.VmListClient,
--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -47,10 +47,11 @@
   kernel.add(createServiceDefinition({
     name: ServiceName.FleetTransport,
     dependencies: [ServiceName.Settings],
-    create: (find) =>
+    create: (find, scope) =>
       createWebSocketTransport(
         find(ServiceName.Settings).peerListen,
         FLEET_CODEC,
+        scope.createBoundary(),
       ),
   }));
   kernel.add(createServiceDefinition({
--- a/src/daemon/wiring/operators.ts
+++ b/src/daemon/wiring/operators.ts
@@ -13,9 +13,10 @@
   kernel.add(createServiceDefinition({
     name: ServiceName.OperatorServer,
     dependencies: [ServiceName.Settings],
-    create: (find) => {
+    create: (find, scope) => {
       const settings = find(ServiceName.Settings);
       return createHttpOperatorServer({
+        boundary: scope.createBoundary(),
         address: settings.operatorListen,
         keyDigests: settings.operatorKeys,
       });
--- a/src/daemon/wiring/platform.ts
+++ b/src/daemon/wiring/platform.ts
@@ -55,6 +55,7 @@
       const addresses = find(ServiceName.FleetAddresses);
       const readiness = find(ServiceName.Readiness);
       const discovery = createDiscovery({
+        boundary: scope.createBoundary(),
         readyListen,
         directoryListen,
         isReady: () => readiness.isReady(),
@@ -73,6 +74,7 @@
       const metrics = find(ServiceName.Metrics);
       const server = createMetricsServer(
         find(ServiceName.Settings).metricsListen,
+        scope.createBoundary(),
         () => metrics.formatText(),
       );
       scope.addStart(() => server.open());
--- a/src/kernel/kernel_test.ts
+++ b/src/kernel/kernel_test.ts
@@ -32,6 +32,7 @@
 function createKernel(failures: unknown[] = []): Kernel<Names> {
   return new Kernel<Names>({
     recordFailure: (_owner, cause) => void failures.push(cause),
+    recordHandlerFailure: (_owner, _peer, cause) => void failures.push(cause),
   });
 }
 
--- a/src/kernel/life_cycle.ts
+++ b/src/kernel/life_cycle.ts
@@ -12,6 +12,24 @@
 export interface LifeCycleObserver {
   /** Records a failure of the service `owner`; `cause` is the thrown value. */
   recordFailure(owner: string, cause: unknown): void;
+  /**
+   * Records that a handler of the service `owner` threw `cause` while it
+   * processed input of `peer`.
+   */
+  recordHandlerFailure(owner: string, peer: string, cause: unknown): void;
+}
+
+/** Runs the handlers of a listener, so that no input ends the process. */
+export interface HandlerBoundary {
+  /**
+   * Runs `handler` for input of `peer`. If it throws or rejects, records the
+   * failure and calls `handleFailure`.
+   */
+  run(
+    peer: string,
+    handler: LifeCycleStep,
+    handleFailure: (cause: unknown) => void,
+  ): void;
 }
 
 /** Tracks what one service started, so that nothing outlives the service. */
@@ -53,6 +71,28 @@
     this.#tasks.add(run);
   }
 
+  /** Creates the boundary in which a listener of the service runs handlers. */
+  createBoundary(): HandlerBoundary {
+    return {
+      run: (peer, handler, handleFailure) => {
+        void this.#runHandler(peer, handler, handleFailure);
+      },
+    };
+  }
+
+  async #runHandler(
+    peer: string,
+    handler: LifeCycleStep,
+    handleFailure: (cause: unknown) => void,
+  ): Promise<void> {
+    try {
+      await handler();
+    } catch (cause) {
+      this.#observer.recordHandlerFailure(this.name, peer, cause);
+      handleFailure(cause);
+    }
+  }
+
   /** Runs the start steps; rejects with the first error of a step. */
   async start(): Promise<void> {
     for (const step of this.#starts) await step();
--- a/src/kernel/mod.ts
+++ b/src/kernel/mod.ts
@@ -4,4 +4,4 @@
 export type { Finder, ServiceDefinition } from "./kernel.ts";
 export { KernelError, KernelErrorKind } from "./kernel_error.ts";
 export { LifeCycle, Scope } from "./life_cycle.ts";
-export type { LifeCycleObserver, Task } from "./life_cycle.ts";
+export type { HandlerBoundary, LifeCycleObserver, Task } from "./life_cycle.ts";
--- a/src/protocols/http/caller_server.ts
+++ b/src/protocols/http/caller_server.ts
@@ -6,6 +6,7 @@
   CALLER_IDLE_TIMEOUT_MS,
 } from "../../constants.ts";
 import { Channel } from "../../kernel/mod.ts";
+import type { HandlerBoundary } from "../../kernel/mod.ts";
 import { RefusalKind, RunState, Step } from "../../model/mod.ts";
 import type { Refusal } from "../../model/mod.ts";
 import type {
@@ -16,6 +17,7 @@
 import type { Address } from "../../settings/mod.ts";
 import type { HttpDialect } from "./dialect.ts";
 import { createExchange } from "./caller_exchange.ts";
+import { createGuardedHandler, openServer } from "./listener.ts";
 import { encodeRefusal } from "./refusal_codec.ts";
 
 const HEADER_OVERFLOW = "HPE_HEADER_OVERFLOW";
@@ -41,28 +43,45 @@
 class HttpCallerServer implements CallerServer {
   readonly #address: Address;
   readonly #dialect: HttpDialect;
+  readonly #boundary: HandlerBoundary;
   readonly #server: http.Server;
   readonly #accepted = new Channel<CallerConnection>();
   readonly #connections = new Map<Socket, Connection>();
   #isClosing = false;
 
-  constructor(address: Address, dialect: HttpDialect) {
+  constructor(
+    address: Address,
+    dialect: HttpDialect,
+    boundary: HandlerBoundary,
+  ) {
     this.#address = address;
     this.#dialect = dialect;
+    this.#boundary = boundary;
     this.#server = http.createServer({
       maxHeaderSize: CALLER_HEADER_LIMIT_BYTES,
       keepAliveTimeout: CALLER_IDLE_TIMEOUT_MS,
       requireHostHeader: true,
     });
     this.#server.on("connection", (socket) => this.#addConnection(socket));
-    this.#server.on("request", (request, response) => {
-      this.#addRequest(request, response, false);
-    });
-    this.#server.on("checkContinue", (request, response) => {
-      this.#addRequest(request, response, true);
-    });
+    this.#server.on(
+      "request",
+      createGuardedHandler(boundary, (request, response) => {
+        this.#addRequest(request, response, false);
+      }),
+    );
+    this.#server.on(
+      "checkContinue",
+      createGuardedHandler(boundary, (request, response) => {
+        this.#addRequest(request, response, true);
+      }),
+    );
     this.#server.on("clientError", (error, stream) => {
-      refuseUnparsed(this.#dialect, error, stream as Socket);
+      const socket = stream as Socket;
+      boundary.run(
+        `${socket.remoteAddress}:${socket.remotePort}`,
+        () => refuseUnparsed(dialect, error, socket),
+        () => socket.destroy(),
+      );
     });
   }
 
@@ -71,10 +90,7 @@
   }
 
   open(): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(this.#address.port, this.#address.host, resolve);
-    });
+    return openServer(this.#server, this.#address, this.#boundary);
   }
 
   listConnections(): AsyncIterable<CallerConnection> {
@@ -137,8 +153,9 @@
 export function createHttpCallerServer(
   address: Address,
   dialect: HttpDialect,
+  boundary: HandlerBoundary,
 ): CallerServer {
-  return new HttpCallerServer(address, dialect);
+  return new HttpCallerServer(address, dialect, boundary);
 }
 
 /** Refuses input that is not a valid request, and closes its connection. */
--- a/src/protocols/http/operator_server.ts
+++ b/src/protocols/http/operator_server.ts
@@ -3,6 +3,7 @@
 import http from "node:http";
 import type { AddressInfo } from "node:net";
 import { Channel } from "../../kernel/mod.ts";
+import type { HandlerBoundary } from "../../kernel/mod.ts";
 import {
   OperatorQuery,
   OperatorResponseKind,
@@ -13,6 +14,7 @@
   OperatorServer,
 } from "../../services/operator_front/mod.ts";
 import type { Address } from "../../settings/mod.ts";
+import { createGuardedHandler, openServer } from "./listener.ts";
 
 const HTTP_OK = 200;
 const HTTP_UNAUTHORIZED = 401;
@@ -24,6 +26,8 @@
   address: Address;
   /** SHA-256 digests of the accepted keys; if empty, nobody has access. */
   keyDigests: readonly string[];
+  /** Boundary in which requests are handled. */
+  boundary: HandlerBoundary;
 }
 
 /** Creates a server for operators; it listens after `open` is called. */
@@ -31,25 +35,24 @@
   options: OperatorServerOptions,
 ): OperatorServer {
   const requests = new Channel<OperatorRequest>();
-  const server = http.createServer((request, response) => {
-    if (!isAuthorized(request, options.keyDigests)) {
-      return sendJson(response, HTTP_UNAUTHORIZED, { error: "key_unknown" });
-    }
-    const query = parseQuery(request);
-    if (query === undefined) {
-      return sendJson(response, HTTP_NOT_FOUND, { error: "query_unknown" });
-    }
-    requests.send({
-      query,
-      send: (operatorResponse) => sendResponse(response, operatorResponse),
-    });
-  });
+  const { address, boundary } = options;
+  const server = http.createServer(
+    createGuardedHandler(boundary, (request, response) => {
+      if (!isAuthorized(request, options.keyDigests)) {
+        return sendJson(response, HTTP_UNAUTHORIZED, { error: "key_unknown" });
+      }
+      const query = parseQuery(request);
+      if (query === undefined) {
+        return sendJson(response, HTTP_NOT_FOUND, { error: "query_unknown" });
+      }
+      requests.send({
+        query,
+        send: (operatorResponse) => sendResponse(response, operatorResponse),
+      });
+    }),
+  );
   return {
-    open: () =>
-      new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(options.address.port, options.address.host, resolve);
-      }),
+    open: () => openServer(server, address, boundary),
     get port() {
       return (server.address() as AddressInfo | null)?.port ?? 0;
     },
--- a/src/protocols/peer/ws_transport.ts
+++ b/src/protocols/peer/ws_transport.ts
@@ -3,6 +3,7 @@
 import { WebSocket, WebSocketServer } from "ws";
 import { PEER_TIMEOUT_MS } from "../../constants.ts";
 import { Channel } from "../../kernel/mod.ts";
+import type { HandlerBoundary } from "../../kernel/mod.ts";
 import type {
   PeerConnection,
   PeerTraffic,
@@ -42,12 +43,20 @@
     codec: MessageCodec<Message>,
     counts: TrafficCounts,
     isClient: boolean,
+    boundary: HandlerBoundary,
+    peer: string,
   ) {
     this.#socket = socket;
     this.#codec = codec;
     this.#counts = counts;
     this.#overheadBytes = FRAME_HEADER_BYTES + (isClient ? MASK_BYTES : 0);
-    socket.on("message", (data) => this.#handleMessage(data as Uint8Array));
+    socket.on("message", (data) => {
+      boundary.run(
+        peer,
+        () => this.#handleMessage(data as Uint8Array),
+        () => this.close(),
+      );
+    });
     socket.on("close", () => this.#received.close());
     socket.on("error", () => socket.terminate());
   }
@@ -80,6 +89,7 @@
 export function createWebSocketTransport<Message>(
   address: Address,
   codec: MessageCodec<Message>,
+  boundary: HandlerBoundary,
 ): PeerTransport<Message> {
   const counts: TrafficCounts = {
     sentBytes: 0,
@@ -91,8 +101,14 @@
   return {
     open: async () => {
       server = await openServer(address);
-      server.on("connection", (socket) => {
-        accepted.send(new WebSocketConnection(socket, codec, counts, false));
+      server.on("error", (error) => {
+        boundary.run("listener", () => Promise.reject(error), () => {});
+      });
+      server.on("connection", (socket, { socket: { remoteAddress } }) => {
+        const peer = remoteAddress ?? "";
+        accepted.send(
+          new WebSocketConnection(socket, codec, counts, false, boundary, peer),
+        );
       });
     },
     get address() {
@@ -101,7 +117,7 @@
     },
     listAccepted: () => accepted,
     connect: (peerAddress, signal) =>
-      connectToPeer(peerAddress, signal, codec, counts),
+      connectToPeer(peerAddress, signal, codec, counts, boundary),
     close: async () => {
       accepted.close();
       await closeServer(server);
@@ -138,18 +154,24 @@
   signal: AbortSignal,
   codec: MessageCodec<Message>,
   counts: TrafficCounts,
+  boundary: HandlerBoundary,
 ): Promise<PeerConnection<Message> | undefined> {
-  if (!URL.canParse(`ws://${address}`)) return Promise.resolve(undefined);
-  const socket = new WebSocket(`ws://${address}`, {
-    handshakeTimeout: PEER_TIMEOUT_MS,
-    maxPayload: MAX_MESSAGE_BYTES,
-    perMessageDeflate: false,
-  });
+  const socket = createClientSocket(address);
+  if (socket === undefined) return Promise.resolve(undefined);
   const cancel = (): void => socket.terminate();
   signal.addEventListener("abort", cancel, { once: true });
   return new Promise((resolve) => {
     socket.once("open", () => {
-      resolve(new WebSocketConnection(socket, codec, counts, true));
+      resolve(
+        new WebSocketConnection(
+          socket,
+          codec,
+          counts,
+          true,
+          boundary,
+          address,
+        ),
+      );
     });
     socket.on("error", () => resolve(undefined));
     socket.once("close", () => {
@@ -158,3 +180,19 @@
     });
   });
 }
+
+/**
+ * Starts to connect to `address`; returns undefined if it is not `host:port`.
+ * The client throws for some addresses that `URL` can parse.
+ */
+function createClientSocket(address: string): WebSocket | undefined {
+  try {
+    return new WebSocket(`ws://${address}`, {
+      handshakeTimeout: PEER_TIMEOUT_MS,
+      maxPayload: MAX_MESSAGE_BYTES,
+      perMessageDeflate: false,
+    });
+  } catch {
+    return undefined;
+  }
+}
--- a/src/services/admission/mod.ts
+++ b/src/services/admission/mod.ts
@@ -25,7 +25,7 @@
 import type { Shutdown } from "../planned_stop/shutdown.ts";
 import type { Random } from "../random/mod.ts";
 import { KeyPresence, parseKey } from "./caller_key.ts";
-import { parsePath } from "./target.ts";
+import { normalizePath, parsePath } from "./target.ts";
 
 export { computeKeyDigest } from "./caller_key.ts";
 
@@ -114,6 +114,13 @@
     const missing = this.#checkLoaded();
     if (missing !== undefined) return missing;
     const route = state.routeTable.find(head.method, path, head.host);
+    const normalized = normalizePath(path);
+    if (
+      normalized !== path &&
+      state.routeTable.find(head.method, normalized, head.host) !== route
+    ) {
+      return refuse(RefusalKind.BadRequest, Step.Parse);
+    }
     if (route === undefined) {
       return refuse(RefusalKind.RouteUnknown, Step.Route);
     }
--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -20,6 +20,8 @@
   StoreReads = "store_reads",
   Refusals = "refusals",
   ServerNotices = "server_notices",
+  HandlerErrors = "handler_errors",
+  UncaughtExceptions = "uncaught_exceptions",
 }
 
 /** Help text of each counter, for scrapers. */
@@ -34,6 +36,9 @@
   [Counter.StoreReads]: "Reads of the store, by stream.",
   [Counter.ServerNotices]:
     "Servers whose responses said that they leave or want a pause, by kind.",
+  [Counter.HandlerErrors]:
+    "Errors of listeners while they handled input, by service.",
+  [Counter.UncaughtExceptions]: "Exceptions that no code caught.",
   [Counter.Refusals]: "Requests refused without a server's response, by kind.",
 };
 
--- a/tests/harness.ts
+++ b/tests/harness.ts
@@ -20,6 +20,7 @@
 import { ServiceName } from "../src/services/catalog.ts";
 import type { Services } from "../src/services/catalog.ts";
 import { createLogging } from "../src/services/logging/mod.ts";
+import { Metrics } from "../src/services/metrics/mod.ts";
 import { ResolutionKind, resolveDaemonSettings } from "../src/settings/mod.ts";
 import { closeServer } from "../standins/json_server.ts";
 import { startLogStandin } from "../standins/log_standin.ts";
@@ -168,10 +169,14 @@
       format: LogFormat.Text,
       vm: "vm-1",
     }),
+    metrics: new Metrics(),
     observer: {
       recordFailure: (owner, cause) => {
         throw new Error(`${owner} failed`, { cause });
       },
+      recordHandlerFailure: (owner, peer, cause) => {
+        throw new Error(`${owner} failed on input of ${peer}`, { cause });
+      },
     },
   });
   await kernel.start();
--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -20,6 +20,7 @@
 import { encodeMessage } from "../src/protocols/peer/message_codec.ts";
 import { MemoryNetwork } from "../standins/memory_network.ts";
 import type { MemoryTransport } from "../standins/memory_network.ts";
+import { Metrics } from "../src/services/metrics/mod.ts";
 import { SILENT_LOGGER } from "../standins/silent_logger.ts";
 import { VirtualClock, VirtualTime } from "../standins/virtual_clock.ts";
 import { appendChange, resolveTestSettings } from "./harness.ts";
@@ -134,9 +135,12 @@
         incarnation: this.#startCount,
       },
       logging: { createLogger: () => SILENT_LOGGER },
+      metrics: new Metrics(),
       observer: {
         recordFailure: (owner, cause) =>
           void this.failures.push(`${name} ${owner}: ${cause}`),
+        recordHandlerFailure: (owner, peer, cause) =>
+          void this.failures.push(`${name} ${owner} ${peer}: ${cause}`),
       },
     });
     this.#replaceServices(kernel, { clock, log, transport, seed });
