--- a/src/daemon/run.ts
+++ b/src/daemon/run.ts
@@ -17,9 +17,9 @@
 import type { DaemonSettings } from "../settings/mod.ts";
 import { ENVIRONMENT_PREFIX } from "../constants.ts";
 import {
-  requestStop,
   setReloadHandler,
   setRepeatedStopHandler,
+  startStop,
   stopRequested,
 } from "./signals.ts";
 import { ExceptionAction, UncaughtExceptions } from "./uncaught_exceptions.ts";
@@ -120,7 +120,7 @@
       case ExceptionAction.Continue:
         return;
       case ExceptionAction.Stop:
-        return requestStop("SIGTERM");
+        return startStop("SIGTERM");
     }
   };
   process.on("unhandledRejection", handle);
--- a/src/daemon/signals.ts
+++ b/src/daemon/signals.ts
@@ -27,11 +27,11 @@
 
 process.on("SIGHUP", () => reloadHandler());
 for (const signal of STOP_SIGNALS) {
-  process.on(signal, () => requestStop(signal));
+  process.on(signal, () => startStop(signal));
 }
 
 /** Starts the planned stop as if `signal` had been received. */
-export function requestStop(signal: StopSignal): void {
+export function startStop(signal: StopSignal): void {
   if (isStopRequested) return repeatedStopHandler(signal);
   isStopRequested = true;
   completeStopRequest(signal);
--- a/src/protocols/http/listener.ts
+++ b/src/protocols/http/listener.ts
@@ -53,12 +53,12 @@
     boundary.run(
       `${remoteAddress}:${remotePort}`,
       () => handler(request, response),
-      (cause) => respondToFailure(response, cause),
+      (cause) => refuseFailed(response, cause),
     );
   };
 }
 
-function respondToFailure(response: http.ServerResponse, cause: unknown): void {
+function refuseFailed(response: http.ServerResponse, cause: unknown): void {
   // A response that has begun can't be corrected; it must not look complete.
   if (response.headersSent) {
     response.destroy();
--- a/src/services/admission/mod.ts
+++ b/src/services/admission/mod.ts
@@ -25,7 +25,7 @@
 import type { Shutdown } from "../planned_stop/shutdown.ts";
 import type { Random } from "../random/mod.ts";
 import { KeyPresence, parseKey } from "./caller_key.ts";
-import { normalizePath, parsePath } from "./target.ts";
+import { parsePath, resolveNormalizedPath } from "./target.ts";
 
 export { computeKeyDigest } from "./caller_key.ts";
 
@@ -114,7 +114,7 @@
     const missing = this.#checkLoaded();
     if (missing !== undefined) return missing;
     const route = state.routeTable.find(head.method, path, head.host);
-    const normalized = normalizePath(path);
+    const normalized = resolveNormalizedPath(path);
     if (
       normalized !== path &&
       state.routeTable.find(head.method, normalized, head.host) !== route
--- a/src/services/admission/target.ts
+++ b/src/services/admission/target.ts
@@ -18,7 +18,7 @@
  * path as sent; otherwise `/open/../private` would bypass the access rules of
  * the private route.
  */
-export function normalizePath(path: string): string {
+export function resolveNormalizedPath(path: string): string {
   const decoded = path
     .replace(/%2f|%5c/gi, "/")
     .replace(/%2e/gi, ".");
