Delay requests during a VM's start instead of refusing them

Cause: a VM accepts connections about 0.3 s before its first configuration is confirmed and refused every request meanwhile, without Retry-After.

--- a/src/daemon/wiring/callers.ts
+++ b/src/daemon/wiring/callers.ts
@@ -13,6 +13,7 @@
 import { Addresses } from "../../services/addresses/mod.ts";
 import { CallerFront } from "../../services/caller_front/mod.ts";
 import { PlannedStop } from "../../services/planned_stop/mod.ts";
+import { Startup } from "../../services/startup/mod.ts";
 
 /** Adds the services that face callers and that both backings need. */
 export function addCallerFront(
@@ -36,6 +37,7 @@
       ServiceName.CallerServer,
       ServiceName.Configuration,
       ServiceName.Admission,
+      ServiceName.Startup,
       ServiceName.Forwarding,
       ServiceName.TeamLimiter,
       ServiceName.Addresses,
@@ -49,6 +51,7 @@
         clock: find(ServiceName.Clock),
         server,
         admission: find(ServiceName.Admission),
+        startup: find(ServiceName.Startup),
         forwarding: find(ServiceName.Forwarding),
         limiter: find(ServiceName.TeamLimiter),
         addresses: find(ServiceName.Addresses),
@@ -73,6 +76,16 @@
 
 /** Adds the addresses and the planned stop of a cell. */
 export function addCellCallers(kernel: Kernel<Services>): void {
+  // Its callers get addresses only of VMs that already serve.
+  kernel.add(createServiceDefinition({
+    name: ServiceName.Startup,
+    dependencies: [ServiceName.Clock],
+    create: (find) =>
+      new Startup({
+        clock: find(ServiceName.Clock),
+        firstServing: Promise.resolve(),
+      }),
+  }));
   addAddresses(kernel);
   addPlannedStop(kernel);
 }
--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -23,6 +23,7 @@
 import { FleetStop } from "../../services/planned_stop/fleet_stop.ts";
 import { Quota, resolveLimits } from "../../services/quota/mod.ts";
 import { Readiness } from "../../services/readiness/mod.ts";
+import { Startup } from "../../services/startup/mod.ts";
 import type { DaemonSettings } from "../../settings/mod.ts";
 
 /**
@@ -126,7 +127,7 @@
       ),
   }));
   kernel.add(createServiceDefinition({
-    name: ServiceName.Freshness,
+    name: ServiceName.Confirmations,
     dependencies: [
       ServiceName.Settings,
       ServiceName.Clock,
@@ -141,6 +142,20 @@
         logger: find(ServiceName.Logging).createLogger("freshness"),
       }),
   }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.Freshness,
+    dependencies: [ServiceName.Confirmations],
+    create: (find) => find(ServiceName.Confirmations),
+  }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.Startup,
+    dependencies: [ServiceName.Clock, ServiceName.Confirmations],
+    create: (find) =>
+      new Startup({
+        clock: find(ServiceName.Clock),
+        firstServing: find(ServiceName.Confirmations).firstFresh,
+      }),
+  }));
   kernel.add(createServiceDefinition({
     name: ServiceName.ServerRegistry,
     dependencies: [ServiceName.Configuration, ServiceName.Logging],
--- a/src/services/admission/mod.ts
+++ b/src/services/admission/mod.ts
@@ -88,6 +88,11 @@
 
 /** Priority rank of requests whose route and team set none. */
 const DEFAULT_PRIORITY = 1;
+/**
+ * Retry delay for a caller of a VM without a configuration: about the time from
+ * a VM's first connection to its first configuration.
+ */
+const STARTING_RETRY_MS = 300;
 /** Retry delay for a caller of a VM that stops; other VMs can serve it. */
 const STOPPING_RETRY_MS = 100;
 
@@ -247,7 +252,11 @@
   #checkLoaded(): AdmissionDecision | undefined {
     const { kind } = this.#deps.freshness.getReport();
     if (kind !== FreshnessKind.Missing) return undefined;
-    return refuse(RefusalKind.ConfigurationMissing, Step.Freshness);
+    return refuse(
+      RefusalKind.ConfigurationMissing,
+      Step.Freshness,
+      STARTING_RETRY_MS,
+    );
   }
 }
 
@@ -278,6 +287,11 @@
   return { kind, step, peer: "", run: RunState.NotRun, retryAfterMs };
 }
 
-function refuse(kind: RefusalKind, step: Step): AdmissionDecision {
-  return { kind: AdmissionKind.Refused, refusal: createRefusal(kind, step) };
+function refuse(
+  kind: RefusalKind,
+  step: Step,
+  retryAfterMs = 0,
+): AdmissionDecision {
+  const refusal = createRefusal(kind, step, retryAfterMs);
+  return { kind: AdmissionKind.Refused, refusal };
 }
--- a/src/services/caller_front/mod.ts
+++ b/src/services/caller_front/mod.ts
@@ -13,6 +13,7 @@
 import type { TeamLimiter } from "../quota/team_limiter.ts";
 import { Counter } from "../metrics/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import type { Startup } from "../startup/mod.ts";
 import type {
   CallerConnection,
   CallerExchange,
@@ -30,6 +31,7 @@
   readonly clock: Clock;
   readonly server: CallerServer;
   readonly admission: Admission;
+  readonly startup: Startup;
   readonly forwarding: Forwarding;
   readonly limiter: TeamLimiter;
   readonly addresses: AddressSelector;
@@ -93,11 +95,12 @@
   }
 
   async #runExchange(exchange: CallerExchange): Promise<void> {
-    const { admission, metrics } = this.#deps;
+    const { admission, metrics, startup } = this.#deps;
     metrics.add(Counter.Requests);
     if (isLocalTarget(exchange.head.target)) {
       return await this.#serveLocal(exchange);
     }
+    await startup.waitUntilServing(exchange.head.remainingMs, exchange.signal);
     const decision = admission.admit(exchange.head);
     switch (decision.kind) {
       case AdmissionKind.Refused:
--- a/src/services/catalog.ts
+++ b/src/services/catalog.ts
@@ -25,6 +25,7 @@
 import type { UpstreamClient } from "./forwarding/upstream.ts";
 import type { FleetRetryBudget } from "./forwarding/fleet_retry_budget.ts";
 import type { RetryBudget } from "./forwarding/retry_budget.ts";
+import type { Confirmations } from "./freshness/confirmations.ts";
 import type { FreshnessSource } from "./freshness/mod.ts";
 import type { LogClient } from "./log_client/mod.ts";
 import type { LogReader } from "./log_reader/mod.ts";
@@ -50,6 +51,7 @@
 import type { Shares } from "./shares/mod.ts";
 import type { ServerNotices } from "./server_notices/mod.ts";
 import type { Snapshots } from "./snapshots/mod.ts";
+import type { Startup } from "./startup/mod.ts";
 
 /** Names by which services find each other. */
 export enum ServiceName {
@@ -64,6 +66,7 @@
   VmListClient = "vm_list_client",
   Membership = "membership",
   QuotaShards = "seats",
+  Confirmations = "confirmations",
   Freshness = "freshness",
   Presence = "presence",
   Relay = "relay",
@@ -72,6 +75,7 @@
   Addresses = "addresses",
   PlannedStop = "planned_stop",
   Shutdown = "shutdown",
+  Startup = "startup",
   LogReader = "log_reader",
   Admission = "admission",
   Detector = "detector",
@@ -126,6 +130,7 @@
   [ServiceName.VmListClient]: VmListClient;
   [ServiceName.Membership]: Membership;
   [ServiceName.QuotaShards]: QuotaShards;
+  [ServiceName.Confirmations]: Confirmations;
   [ServiceName.Freshness]: FreshnessSource;
   [ServiceName.Presence]: Presence;
   [ServiceName.Relay]: Relay;
@@ -134,6 +139,7 @@
   [ServiceName.Addresses]: AddressSelector;
   [ServiceName.PlannedStop]: PlannedStop;
   [ServiceName.Shutdown]: Shutdown;
+  [ServiceName.Startup]: Startup;
   [ServiceName.LogReader]: LogReader;
   [ServiceName.Admission]: Admission;
   [ServiceName.Detector]: Detector;
--- a/src/services/freshness/confirmations.ts
+++ b/src/services/freshness/confirmations.ts
@@ -27,6 +27,11 @@
   #requestedAt = -Infinity;
   #requestedWallAt = -Infinity;
   #wasFresh = false;
+  #completeFirstFresh: () => void = () => {};
+  /** Resolves once a configuration is in force and confirmed. */
+  readonly firstFresh = new Promise<void>((resolve) => {
+    this.#completeFirstFresh = resolve;
+  });
 
   /** Creates a tracker without any confirmation. */
   constructor(deps: ConfirmationsDependencies) {
@@ -38,6 +43,7 @@
     const { clock } = this.#deps;
     this.#requestedAt = requestedAt;
     this.#requestedWallAt = clock.wallNow() - (clock.now() - requestedAt);
+    if (this.isFresh()) this.#completeFirstFresh();
   }
 
   recordLogFailure(_requestedAt: number): void {}
