Let only one attempt send a body that is streamed

Cause: whether a body could be sent again was asked right after the first attempt was started, before it had read anything. A hedge was then sent the buffered beginning and the rest of a stream that the first attempt was reading.

Change: an attempt claims the body when it starts (RequestBody.claim). A streamed body has one claim, which returns only if nothing was read. A hedge or retry checks canClaim before it selects a server and charges the retry budget.

--- a/src/model/outcomes.ts
+++ b/src/model/outcomes.ts
@@ -31,6 +31,8 @@
   Misdirected = "misdirected",
   QueueFull = "queue_full",
   NoServer = "no_server",
+  /** Another attempt sends the request's body, which can't be sent again. */
+  BodyUnavailable = "body_unavailable",
 }
 
 /** Reason, step and peer of a failed attempt. */
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -24,7 +24,8 @@
   ResponseBodyKind,
 } from "./response_body.ts";
 import type { ResponseBody } from "./response_body.ts";
-import type { RequestBody } from "./request_body.ts";
+import { BodyClaimKind } from "./request_body.ts";
+import type { BodyClaim, RequestBody } from "./request_body.ts";
 import { BodyError } from "./upstream.ts";
 import type { Attempt, UpstreamClient, UpstreamResponse } from "./upstream.ts";
 
@@ -53,6 +54,20 @@
     readonly accepted: AcceptedResponse;
   };
 
+/** A claim that succeeded. */
+type ClaimedBody = Extract<BodyClaim, { kind: BodyClaimKind.Claimed }>;
+
+/** An attempt whose server was selected and whose body was claimed. */
+interface SelectedAttempt {
+  readonly context: RequestContext;
+  readonly server: Server;
+  readonly claim: ClaimedBody;
+  /** Cancels the attempt. */
+  readonly signal: AbortSignal;
+  /** Monotonic time at which its wait for the server began. */
+  readonly selectedAt: number;
+}
+
 /** Dependencies of {@linkcode AttemptRunner}. */
 export interface AttemptDependencies {
   readonly admission: Admission;
@@ -78,55 +93,70 @@
     this.#deps = deps;
   }
 
-  /** Sends a request to one server; `signal` cancels only this attempt. */
+  /**
+   * Sends a request to one server, unless another attempt sends its body;
+   * `signal` cancels only this attempt.
+   */
   async run(
     context: RequestContext,
     server: Server,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const { dispatch, selection, detector, overload, clock, metrics } =
-      this.#deps;
-    const selectedAt = clock.now();
-    return await dispatch.runOnServer(server.id, async () => {
-      // The server or the caller's key may have changed during the wait.
-      if (!this.#checkSend(context, server)) {
-        const failure = {
-          kind: FailureKind.NoServer,
-          step: Step.Queue,
-          peer: server.id,
-        };
-        return { kind: OutcomeKind.NotRun, failure };
-      }
-      this.#recordSend(context, server, clock.now() - selectedAt);
-      const tracked = detector.recordStart(server);
-      metrics.add(Counter.Attempts);
-      const hadCapacity = selection.recordStart(server);
-      const attempt = this.#createAttempt(context, server, signal);
-      const outcome = await this.#deps.upstream.send(attempt);
-      const result = outcome.kind === OutcomeKind.Responded
-        ? await checkResponse(attempt, outcome.response, clock)
-        : outcome;
-      const response = outcome.kind === OutcomeKind.Responded
-        ? outcome.response
-        : undefined;
-      const latencyMs = clock.now() - tracked.startedAt;
-      selection.recordEnd(
-        server,
-        response && {
-          latencyMs: isProcessed(result) ? latencyMs : undefined,
-          load: response.load,
-          isShed: response.isNotRun,
-          hadCapacity,
-        },
-      );
-      if (isProcessed(result) && hadCapacity) {
-        const { service, route } = context.plan;
-        overload.recordProcessingTime(service, route.id, latencyMs);
-      }
-      if (response) this.#recordNotices(server, response);
-      detector.recordEnd(tracked, getVerdict(result));
-      return result;
-    });
+    const selectedAt = this.#deps.clock.now();
+    const claim = context.body.claim();
+    switch (claim.kind) {
+      case BodyClaimKind.Unavailable:
+        this.#recordFailedClaim(context, server);
+        return createUnsentResult(server, FailureKind.BodyUnavailable);
+      case BodyClaimKind.Claimed:
+        try {
+          return await this.#deps.dispatch.runOnServer(
+            server.id,
+            () =>
+              this.#sendAttempt({ context, server, claim, signal, selectedAt }),
+          );
+        } finally {
+          claim.release();
+        }
+    }
+  }
+
+  async #sendAttempt(selected: SelectedAttempt): Promise<AttemptResult> {
+    const { context, server, selectedAt } = selected;
+    const { selection, detector, overload, clock, metrics } = this.#deps;
+    // The server or the caller's key may have changed during the wait.
+    if (!this.#checkSend(context, server)) {
+      return createUnsentResult(server, FailureKind.NoServer);
+    }
+    this.#recordSend(context, server, clock.now() - selectedAt);
+    const tracked = detector.recordStart(server);
+    metrics.add(Counter.Attempts);
+    const hadCapacity = selection.recordStart(server);
+    const attempt = this.#createAttempt(selected);
+    const outcome = await this.#deps.upstream.send(attempt);
+    const result = outcome.kind === OutcomeKind.Responded
+      ? await checkResponse(attempt, outcome.response, clock)
+      : outcome;
+    const response = outcome.kind === OutcomeKind.Responded
+      ? outcome.response
+      : undefined;
+    const latencyMs = clock.now() - tracked.startedAt;
+    selection.recordEnd(
+      server,
+      response && {
+        latencyMs: isProcessed(result) ? latencyMs : undefined,
+        load: response.load,
+        isShed: response.isNotRun,
+        hadCapacity,
+      },
+    );
+    if (isProcessed(result) && hadCapacity) {
+      const { service, route } = context.plan;
+      overload.recordProcessingTime(service, route.id, latencyMs);
+    }
+    if (response) this.#recordNotices(server, response);
+    detector.recordEnd(tracked, getVerdict(result));
+    return result;
   }
 
   /** Records what the server's response says about the server itself. */
@@ -164,11 +194,15 @@
     return false;
   }
 
-  #createAttempt(
-    context: RequestContext,
-    server: Server,
-    signal: AbortSignal,
-  ): Attempt {
+  #recordFailedClaim({ plan }: RequestContext, server: Server): void {
+    this.#deps.logger.info("another attempt sends the body; sending no more", {
+      request: plan.attempt ?? "",
+      server: server.id,
+    });
+  }
+
+  #createAttempt(selected: SelectedAttempt): Attempt {
+    const { context, server, claim, signal } = selected;
     const { plan, body } = context;
     this.#attemptCount += 1;
     return {
@@ -180,7 +214,7 @@
       target: plan.target,
       headers: plan.headers,
       bodyLength: body.length,
-      body: body.read(),
+      body: claim.chunks,
       remainingMs: plan.deadlineAt - this.#deps.clock.now(),
       mayReuseConnection: plan.route.idempotency === Idempotency.Idempotent,
       isAllowed: () => this.#checkSend(context, server),
@@ -189,6 +223,15 @@
   }
 }
 
+/** Creates the result of an attempt that ended before it was sent. */
+function createUnsentResult(
+  server: Server,
+  kind: FailureKind,
+): Extract<AttemptResult, { kind: OutcomeKind.NotRun }> {
+  const failure = { kind, step: Step.Queue, peer: server.id };
+  return { kind: OutcomeKind.NotRun, failure };
+}
+
 const SERVER_ERROR_STATUS = 500;
 const REDIRECTION_STATUS = 300;
 
@@ -196,14 +239,17 @@
   return status < REDIRECTION_STATUS;
 }
 
-/** Whether an attempt got a response that a retry could not improve. */
+/**
+ * Whether an attempt got a response that is forwarded: one that a retry could
+ * not improve, or after which the body can't be sent again.
+ */
 export function isFinal(
   context: RequestContext,
   result: AttemptResult,
 ): result is Extract<AttemptResult, { kind: OutcomeKind.Responded }> {
   if (result.kind !== OutcomeKind.Responded) return false;
   const { status } = result.accepted.response;
-  return status < SERVER_ERROR_STATUS ||
+  return status < SERVER_ERROR_STATUS || !context.body.canClaim ||
     !isRetryable(context, OutcomeKind.MayHaveRun);
 }
 
@@ -236,6 +282,7 @@
     case FailureKind.Shed:
     case FailureKind.QueueFull:
     case FailureKind.NoServer:
+    case FailureKind.BodyUnavailable:
       return AttemptVerdict.Neutral;
     case FailureKind.ConnectionRefused:
     case FailureKind.Misdirected:
@@ -325,7 +372,7 @@
   context: RequestContext,
   kind: OutcomeKind,
 ): boolean {
-  if (context.signal.aborted || !context.body.isReplayable) return false;
+  if (context.signal.aborted) return false;
   switch (kind) {
     case OutcomeKind.NotRun:
       return true;
--- a/src/services/forwarding/attempt_runner_test.ts
+++ b/src/services/forwarding/attempt_runner_test.ts
@@ -19,6 +19,7 @@
 import { ServerNotices } from "../server_notices/mod.ts";
 import { AttemptRunner, checkResponse } from "./attempt_runner.ts";
 import type { AttemptDependencies, RequestContext } from "./attempt_runner.ts";
+import { BodyClaimKind } from "./request_body.ts";
 import type { Attempt, UpstreamResponse } from "./upstream.ts";
 
 /** Maximum number of requests from one VM to one server at the same time. */
@@ -45,7 +46,15 @@
     route: { id: "turns" },
     deadlineAt: 1e9,
   },
-  body: { length: 0, isReplayable: true, read: () => undefined },
+  body: {
+    length: 0,
+    canClaim: true,
+    claim: () => ({
+      kind: BodyClaimKind.Claimed,
+      chunks: undefined,
+      release: () => {},
+    }),
+  },
   signal: new AbortController().signal,
 } as unknown as RequestContext;
 
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -58,6 +58,9 @@
   readonly cancel: () => void;
 }
 
+/** Servers in the order in which they are tried. */
+type Candidates = Generator<Server, void, undefined>;
+
 /** A request that is refused. */
 type RefusedContext = Pick<RequestContext, "exchange" | "plan">;
 
@@ -224,8 +227,9 @@
     this.#deps.retryBudget.recordRequest(getScope(plan));
     const candidates = this.#deps.selection
       .selectServers(plan.service, this.#getFailureImpact(context));
-    for (const server of candidates) {
-      if (!this.#admitAttempt(context, progress)) break;
+    while (true) {
+      const server = this.#selectNext(context, progress, candidates);
+      if (server === undefined) break;
       const result = await this.#runHedged(
         context,
         progress,
@@ -258,11 +262,11 @@
   async #runHedged(
     context: RequestContext,
     progress: Progress,
-    server: Server,
-    candidates: Generator<Server, void, undefined>,
+    firstServer: Server,
+    candidates: Candidates,
   ): Promise<AttemptResult> {
     const { clock, logger, metrics } = this.#deps;
-    const first = this.#startAttempt(context, progress, server);
+    const first = this.#startAttempt(context, progress, firstServer);
     const delayMs = this.#getHedgeDelayMs(context);
     if (delayMs === undefined) return await first.result;
     const earlyResult = await runWithTimeout(
@@ -271,15 +275,14 @@
       () => first.result,
     );
     if (earlyResult !== TIMED_OUT) return earlyResult;
-    if (!this.#admitAttempt(context, progress)) return await first.result;
-    const next = candidates.next();
-    if (next.done) return await first.result;
-    const second = this.#startAttempt(context, progress, next.value);
+    const server = this.#selectNext(context, progress, candidates);
+    if (server === undefined) return await first.result;
+    const second = this.#startAttempt(context, progress, server);
     metrics.add(Counter.Hedges);
     logger.info("no response yet; sending a hedge to a second server", {
       request: context.plan.attempt ?? "",
-      first: server.id,
-      second: next.value.id,
+      first: firstServer.id,
+      second: server.id,
       afterMs: Math.round(delayMs),
     });
     const attempts = [first, second];
@@ -342,9 +345,27 @@
     });
   }
 
-  /** Whether one more server may be tried; a retry is charged to the budget. */
-  #admitAttempt(context: RequestContext, progress: Progress): boolean {
-    const { plan } = context;
+  /**
+   * Selects the server of the next attempt and charges a retry to the budget;
+   * undefined if no further attempt may be made.
+   */
+  #selectNext(
+    context: RequestContext,
+    progress: Progress,
+    candidates: Candidates,
+  ): Server | undefined {
+    if (!this.#checkNext(context, progress)) return undefined;
+    const next = candidates.next();
+    if (next.done) return undefined;
+    if (progress.sent > 0 && !this.#acquireRetry(context.plan)) {
+      return undefined;
+    }
+    return next.value;
+  }
+
+  /** Whether one more attempt may be made if there is a server for it. */
+  #checkNext(context: RequestContext, progress: Progress): boolean {
+    const { plan, body } = context;
     const withdrawn = this.#deps.admission.checkPlan(plan);
     if (withdrawn !== undefined) {
       progress.refusal = createWithdrawnRefusal(withdrawn, progress.refusal);
@@ -355,7 +376,12 @@
     if (progress.sent >= (plan.route.attempts ?? DEFAULT_MAX_ATTEMPTS)) {
       return false;
     }
-    return this.#acquireRetry(plan);
+    if (body.canClaim) return true;
+    this.#deps.logger.info("the body can't be sent again; no further attempt", {
+      request: plan.attempt ?? "",
+      sent: progress.sent,
+    });
+    return false;
   }
 
   #recordFailure(
--- a/src/services/forwarding/request_body.ts
+++ b/src/services/forwarding/request_body.ts
@@ -2,14 +2,39 @@
 import { REPLAYABLE_BODY_LIMIT_BYTES } from "../../constants.ts";
 import type { IncomingBody } from "../caller_front/exchange.ts";
 
-/** Body that attempts read; one that is not fully buffered can be read once. */
+/** Kinds of {@linkcode BodyClaim}. */
+export enum BodyClaimKind {
+  Claimed = "claimed",
+  Unavailable = "unavailable",
+}
+
+/** Result of an attempt's claim on the body of its request. */
+export type BodyClaim =
+  | {
+    readonly kind: BodyClaimKind.Claimed;
+    /** Complete body, to be read once; undefined if there is none. */
+    readonly chunks: AsyncIterable<Uint8Array> | undefined;
+    /**
+     * Lets another attempt claim the body, unless this one began to read it;
+     * to be called when the attempt has ended.
+     */
+    readonly release: () => void;
+  }
+  /** Another attempt sends the body, or has sent part of it. */
+  | { readonly kind: BodyClaimKind.Unavailable };
+
+/**
+ * Body that attempts send completely. Any number of attempts may claim a
+ * buffered one; a streamed one can be read only once, by the attempt that
+ * claimed it.
+ */
 export interface RequestBody {
   /** Length in bytes; undefined if unknown. */
   readonly length: number | undefined;
-  /** Whether another attempt can send the complete body. */
-  readonly isReplayable: boolean;
-  /** Reads the body; undefined if there is none. */
-  read(): AsyncIterable<Uint8Array> | undefined;
+  /** Whether {@linkcode claim} would succeed now. */
+  readonly canClaim: boolean;
+  /** Claims the body for an attempt that starts. */
+  claim(): BodyClaim;
 }
 
 /**
@@ -23,7 +48,7 @@
   signal: AbortSignal,
 ): Promise<RequestBody | undefined> {
   if (incoming.length === 0) {
-    return { length: 0, isReplayable: true, read: () => undefined };
+    return createBufferedBody(0, () => undefined);
   }
   const reader = incoming.read()[Symbol.asyncIterator]();
   const aborted = waitForAbort(signal);
@@ -33,12 +58,12 @@
     const next = await Promise.race([reader.next(), aborted]);
     if (next === undefined) return undefined;
     if (next.done) {
-      return { length, isReplayable: true, read: () => listChunks(buffered) };
+      return createBufferedBody(length, () => listChunks(buffered));
     }
     buffered.push(next.value);
     length += next.value.length;
   }
-  return createStreamedBody(incoming.length, buffered, reader);
+  return new StreamedBody(incoming.length, buffered, reader);
 }
 
 /** Resolves to undefined when `signal` aborts. */
@@ -50,29 +75,82 @@
   });
 }
 
-function createStreamedBody(
-  length: number | undefined,
-  buffered: readonly Uint8Array[],
-  reader: AsyncIterator<Uint8Array>,
+function createBufferedBody(
+  length: number,
+  read: () => AsyncIterable<Uint8Array> | undefined,
 ): RequestBody {
-  let isRead = false;
   return {
     length,
-    get isReplayable() {
-      return !isRead;
-    },
-    read: async function* () {
-      isRead = true;
-      yield* buffered;
-      while (true) {
-        const next = await reader.next();
-        if (next.done) return;
-        yield next.value;
-      }
-    },
+    canClaim: true,
+    claim: () => ({
+      kind: BodyClaimKind.Claimed,
+      chunks: read(),
+      release: () => {},
+    }),
   };
 }
 
+/** Progress of a streamed body. */
+enum StreamState {
+  Free = "free",
+  Claimed = "claimed",
+  Read = "read",
+}
+
+/** A body whose beginning is buffered and whose rest is still being received. */
+class StreamedBody implements RequestBody {
+  readonly length: number | undefined;
+  readonly #buffered: readonly Uint8Array[];
+  readonly #reader: AsyncIterator<Uint8Array>;
+  #state = StreamState.Free;
+  /** Number of claims so far; only the newest one may read. */
+  #claimCount = 0;
+
+  constructor(
+    length: number | undefined,
+    buffered: readonly Uint8Array[],
+    reader: AsyncIterator<Uint8Array>,
+  ) {
+    this.length = length;
+    this.#buffered = buffered;
+    this.#reader = reader;
+  }
+
+  get canClaim(): boolean {
+    return this.#state === StreamState.Free;
+  }
+
+  claim(): BodyClaim {
+    if (!this.canClaim) return { kind: BodyClaimKind.Unavailable };
+    this.#state = StreamState.Claimed;
+    this.#claimCount += 1;
+    const id = this.#claimCount;
+    return {
+      kind: BodyClaimKind.Claimed,
+      chunks: this.#read(id),
+      release: () => this.#release(id),
+    };
+  }
+
+  #release(id: number): void {
+    if (id !== this.#claimCount || this.#state !== StreamState.Claimed) return;
+    this.#state = StreamState.Free;
+  }
+
+  async *#read(id: number): AsyncGenerator<Uint8Array> {
+    if (id !== this.#claimCount || this.#state !== StreamState.Claimed) {
+      throw new Error("the request body is read without a claim");
+    }
+    this.#state = StreamState.Read;
+    yield* this.#buffered;
+    while (true) {
+      const next = await this.#reader.next();
+      if (next.done) return;
+      yield next.value;
+    }
+  }
+}
+
 async function* listChunks(
   chunks: readonly Uint8Array[],
 ): AsyncGenerator<Uint8Array> {
--- a/src/services/forwarding/request_body_test.ts
+++ b/src/services/forwarding/request_body_test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { REPLAYABLE_BODY_LIMIT_BYTES } from "../../constants.ts";
-import { readRequestBody } from "./request_body.ts";
-import type { RequestBody } from "./request_body.ts";
+import { BodyClaimKind, readRequestBody } from "./request_body.ts";
+import type { BodyClaim, RequestBody } from "./request_body.ts";
 
 const CHUNK_BYTES = 1_024;
 
@@ -27,12 +27,35 @@
   };
 }
 
-async function countBytes(body: RequestBody): Promise<number> {
+type ClaimedBody = Extract<BodyClaim, { kind: BodyClaimKind.Claimed }>;
+
+function claimBody(body: RequestBody): ClaimedBody {
+  const claim = body.claim();
+  assert.equal(claim.kind, BodyClaimKind.Claimed);
+  return claim as ClaimedBody;
+}
+
+async function countBytes({ chunks }: ClaimedBody): Promise<number> {
   let count = 0;
-  for await (const chunk of body.read() ?? []) count += chunk.length;
+  for await (const chunk of chunks ?? []) count += chunk.length;
   return count;
 }
 
+const LONG_CHUNKS = REPLAYABLE_BODY_LIMIT_BYTES / CHUNK_BYTES + 5;
+
+async function readLongBody(length: number | undefined): Promise<RequestBody> {
+  const body = await readRequestBody({
+    length,
+    read: async function* () {
+      for (let index = 0; index < LONG_CHUNKS; index += 1) {
+        yield await Promise.resolve(new Uint8Array(CHUNK_BYTES));
+      }
+    },
+  }, new AbortController().signal);
+  assert.ok(body);
+  return body;
+}
+
 // Guards against selecting a server while the caller is still sending.
 test("a short body without a length is complete before it is forwarded", async () => {
   const incoming = createIncoming();
@@ -48,24 +71,38 @@
   const body = await reading;
   assert.ok(body);
   assert.equal(body.length, 2 * CHUNK_BYTES);
-  assert.ok(body.isReplayable);
-  assert.equal(await countBytes(body), 2 * CHUNK_BYTES);
-  assert.equal(await countBytes(body), 2 * CHUNK_BYTES);
+  const claims = [claimBody(body), claimBody(body)];
+  assert.ok(body.canClaim);
+  for (const claim of claims) {
+    assert.equal(await countBytes(claim), 2 * CHUNK_BYTES);
+  }
 });
 
-test("a long body is streamed once, from its beginning", async () => {
-  const chunks = REPLAYABLE_BODY_LIMIT_BYTES / CHUNK_BYTES + 5;
-  const body = await readRequestBody({
-    length: chunks * CHUNK_BYTES,
-    read: async function* () {
-      for (let index = 0; index < chunks; index += 1) {
-        yield await Promise.resolve(new Uint8Array(CHUNK_BYTES));
-      }
-    },
-  }, new AbortController().signal);
-  assert.ok(body);
-  assert.equal(body.length, chunks * CHUNK_BYTES);
-  assert.ok(body.isReplayable);
-  assert.equal(await countBytes(body), chunks * CHUNK_BYTES);
-  assert.equal(body.isReplayable, false);
+for (const length of [LONG_CHUNKS * CHUNK_BYTES, undefined]) {
+  const kind = length === undefined ? "in chunks" : "with a length";
+  // Guards against two attempts that each send a part of the body.
+  test(`a long body ${kind} is sent by one attempt, from its beginning`, async () => {
+    const body = await readLongBody(length);
+    assert.equal(body.length, length);
+    const claim = claimBody(body);
+    // A second attempt may start before the first has read anything.
+    assert.equal(body.canClaim, false);
+    assert.equal(body.claim().kind, BodyClaimKind.Unavailable);
+    assert.equal(await countBytes(claim), LONG_CHUNKS * CHUNK_BYTES);
+    claim.release();
+    assert.equal(body.canClaim, false);
+    assert.equal(body.claim().kind, BodyClaimKind.Unavailable);
+  });
+}
+
+// Guards against a refused connection that ends a request with a long body.
+test("a long body that was claimed but not read can be claimed again", async () => {
+  const body = await readLongBody(undefined);
+  const first = claimBody(body);
+  first.release();
+  const second = claimBody(body);
+  first.release();
+  assert.equal(body.canClaim, false, "released by an earlier claim");
+  await assert.rejects(countBytes(first), /without a claim/);
+  assert.equal(await countBytes(second), LONG_CHUNKS * CHUNK_BYTES);
 });
