Release connections after responses without a body, reject invalid statuses

Cause: a response with status 204 or 304 or to HEAD was never read to its end, so Node's agent never got its connection back, and after eight such responses no request reached the server. Node's parser accepts any three digits as a status; 000 counted as a success, and a 101 or a 1xx without a final response as a lost connection.

The lint rule for verbs exempts keepSocketAlive and reuseSocket, which Node's Agent prescribes.

--- a/src/protocols/http/upstream_client.ts
+++ b/src/protocols/http/upstream_client.ts
@@ -2,11 +2,7 @@
 import http from "node:http";
 import net from "node:net";
 import type { Socket } from "node:net";
-import {
-  CONNECT_TIMEOUT_MS,
-  MAX_CONNECTIONS_PER_SERVER,
-  UPSTREAM_IDLE_MS,
-} from "../../constants.ts";
+import { CONNECT_TIMEOUT_MS } from "../../constants.ts";
 import { FailureKind, OutcomeKind, Step } from "../../model/mod.ts";
 import type {
   AttemptOutcome,
@@ -14,27 +10,25 @@
   Server,
   ServerId,
 } from "../../model/mod.ts";
-import { BodyError } from "../../services/forwarding/upstream.ts";
 import type {
   Attempt,
   UpstreamClient,
   UpstreamResponse,
 } from "../../services/forwarding/upstream.ts";
 import type { HttpDialect } from "./dialect.ts";
-import { parseRetryAfter } from "./retry_after.ts";
+import { encodeHeaders } from "./header_fields.ts";
+import { createServerAgents } from "./server_agents.ts";
+import type { ServerAgents } from "./server_agents.ts";
 import {
-  decodeHeaders,
-  encodeHeaders,
-  removeFields,
-  removeHopByHop,
-} from "./header_fields.ts";
+  createResponse,
+  hasBody,
+  releaseConnection,
+} from "./upstream_response.ts";
 
 /** Methods whose requests have a `Content-Length` even without a body. */
 const BODY_METHODS = new Set(["POST", "PUT", "PATCH"]);
-const STATUS_NO_CONTENT = 204;
-const STATUS_NOT_MODIFIED = 304;
-const STATUS_MISDIRECTED = 421;
-const STATUS_UNAVAILABLE = 503;
+const STATUS_MIN = 200;
+const STATUS_MAX = 599;
 
 /**
  * Maximum number of informational responses (1xx) before the final response.
@@ -43,14 +37,6 @@
  */
 const INFORMATIONAL_RESPONSE_LIMIT = 16;
 
-/** Agents that manage the connections to one backend server. */
-interface ServerAgents {
-  /** Reuses connections; for requests that may be retried. */
-  readonly persistent: http.Agent;
-  /** Opens a connection per request; for requests that must not be retried. */
-  readonly singleUse: http.Agent;
-}
-
 /** Creates a client of backend servers that use `dialect`. */
 export function createHttpUpstreamClient(dialect: HttpDialect): UpstreamClient {
   const agents = new Map<ServerId, ServerAgents>();
@@ -87,18 +73,7 @@
 ): ServerAgents {
   const existing = agents.get(attempt.server.id);
   if (existing !== undefined) return existing;
-  const created = {
-    persistent: new http.Agent({
-      keepAlive: true,
-      maxSockets: MAX_CONNECTIONS_PER_SERVER,
-      maxFreeSockets: MAX_CONNECTIONS_PER_SERVER,
-      timeout: UPSTREAM_IDLE_MS,
-    }),
-    singleUse: new http.Agent({
-      keepAlive: false,
-      maxSockets: MAX_CONNECTIONS_PER_SERVER,
-    }),
-  };
+  const created = createServerAgents();
   agents.set(attempt.server.id, created);
   return created;
 }
@@ -131,6 +106,8 @@
   readonly #resolve: (outcome: AttemptOutcome<UpstreamResponse>) => void;
   #step = Step.Connect;
   #failure: FailureKind | undefined;
+  /** Number of informational responses (1xx) so far. */
+  #informationCount = 0;
   #connectTimer: NodeJS.Timeout | undefined;
   #setConnected: () => void = () => {};
   readonly #connected = new Promise<void>((resolve) => {
@@ -157,17 +134,21 @@
     this.#request.once("close", () => {
       signal.removeEventListener("abort", cancel);
       clearTimeout(this.#connectTimer);
-      this.#setFailed(FailureKind.ConnectionLost);
+      this.#setFailed(this.#getLossKind());
     });
     this.#request.once("socket", (socket) => this.#waitForConnect(socket));
     this.#request.on(
       "error",
-      (error) => this.#setFailed(resolveFailure(error)),
+      (error) => this.#setFailed(resolveFailure(error, this.#getLossKind())),
     );
-    let informational = 0;
     this.#request.on("information", () => {
-      informational += 1;
-      if (informational <= INFORMATIONAL_RESPONSE_LIMIT) return;
+      this.#informationCount += 1;
+      if (this.#informationCount <= INFORMATIONAL_RESPONSE_LIMIT) return;
+      this.#cancel(FailureKind.InvalidResponse);
+    });
+    // A response with status 101, although no request asks for an upgrade.
+    this.#request.once("upgrade", (_response, socket) => {
+      socket.destroy();
       this.#cancel(FailureKind.InvalidResponse);
     });
     this.#request.once("response", (response) => this.#setResponse(response));
@@ -229,6 +210,13 @@
     this.#setFailed(kind);
   }
 
+  /** Returns how the attempt failed if its connection was lost. */
+  #getLossKind(): FailureKind {
+    return this.#informationCount === 0
+      ? FailureKind.ConnectionLost
+      : FailureKind.InvalidResponse;
+  }
+
   #setFailed(kind: FailureKind): void {
     const failure = {
       kind: this.#failure ?? kind,
@@ -243,6 +231,14 @@
   }
 
   #setResponse(response: http.IncomingMessage): void {
+    // Node's parser accepts any three digits.
+    const status = response.statusCode ?? 0;
+    if (status < STATUS_MIN || status > STATUS_MAX) {
+      return this.#cancel(FailureKind.InvalidResponse);
+    }
+    if (!hasBody(this.#attempt.method, status)) {
+      releaseConnection(this.#request, response);
+    }
     this.#resolve({
       kind: OutcomeKind.Responded,
       server: this.#attempt.server.id,
@@ -290,116 +286,11 @@
   return fields;
 }
 
-function createResponse(
-  dialect: HttpDialect,
-  attempt: Attempt,
-  request: http.ClientRequest,
-  response: http.IncomingMessage,
-): UpstreamResponse {
-  const status = response.statusCode ?? 0;
-  const fields = response.headers;
-  const echoedAttempt = getField(fields, dialect.attemptField);
-  // On a reused connection, a refusal without an attempt id may belong to an
-  // earlier request if a faulty server has sent that refusal twice.
-  const isForAttempt = echoedAttempt !== undefined ||
-    dialect.signatureField === undefined ||
-    !attempt.mayReuseConnection;
-  const headers = removeHopByHop(decodeHeaders(response.rawHeaders));
-  return {
-    status,
-    headers: removeFields(headers, dialect.hiddenFields),
-    attempt: echoedAttempt,
-    isNotRun: isForAttempt &&
-      isNotRun(dialect, getField(fields, dialect.notRunField)),
-    isMisdirected: isForAttempt && dialect.serverField !== undefined &&
-      status === STATUS_MISDIRECTED,
-    isUnverified: dialect.signatureField !== undefined &&
-      (getField(fields, dialect.signatureField) === undefined ||
-        echoedAttempt === undefined),
-    isLeaving: dialect.leavingFields.some((name) =>
-      getField(fields, name) === dialect.leavingValue
-    ),
-    pauseMs: status === STATUS_UNAVAILABLE
-      ? parseRetryAfter(getField(fields, "retry-after"), Date.now())
-      : undefined,
-    load: dialect.parseLoad(getField(fields, dialect.loadField) ?? ""),
-    hasBody: attempt.method !== "HEAD" && status !== STATUS_NO_CONTENT &&
-      status !== STATUS_NOT_MODIFIED,
-    readBody: () => readBody(attempt, request, response),
-    cancel: () => void request.destroy(),
-  };
-}
-
-/** Reads a body; throws a {@linkcode BodyError} if it is incomplete. */
-async function* readBody(
-  attempt: Attempt,
-  request: http.ClientRequest,
-  response: http.IncomingMessage,
-): AsyncGenerator<Uint8Array> {
-  let hasError = false;
-  request.once("error", () => hasError = true);
-  const reset = hasNoLength(response) ? checkReset(response) : undefined;
-  try {
-    for await (const chunk of response) yield chunk as Uint8Array;
-  } catch {
-    throw createBodyError(attempt);
-  }
-  const isReset = await reset;
-  if (isReset || hasError || !response.complete) {
-    throw createBodyError(attempt);
-  }
-}
-
-function hasNoLength(response: http.IncomingMessage): boolean {
-  const { headers } = response;
-  return headers["content-length"] === undefined &&
-    headers["transfer-encoding"] === undefined;
-}
-
-/**
- * Resolves to whether the connection was reset; used for responses that end
- * when their connection closes.
- *
- * When data and a reset arrive together, libuv reports the end of the stream
- * instead of the reset. A write distinguishes the two cases: it fails only
- * after a reset. Servers ignore an empty line before a request (RFC 9112, 2.2).
- */
-function checkReset(response: http.IncomingMessage): Promise<boolean> {
-  const { socket } = response;
-  if (socket.destroyed) return Promise.resolve(true);
-  return new Promise((resolve) => {
-    socket.once("close", (hadError: boolean) => resolve(hadError));
-    socket.prependOnceListener("end", () => {
-      socket.write("\r\n", (error) => resolve(Boolean(error)));
-    });
-  });
-}
-
-function createBodyError(attempt: Attempt): BodyError {
-  return new BodyError({
-    kind: attempt.signal.aborted
-      ? FailureKind.Cancelled
-      : FailureKind.Truncated,
-    step: Step.Body,
-    peer: attempt.server.id,
-  });
-}
-
-function isNotRun(dialect: HttpDialect, value: string | undefined): boolean {
-  return value !== undefined &&
-    (dialect.notRunValue ?? value) === value;
-}
-
-function getField(
-  headers: http.IncomingHttpHeaders,
-  name: string,
-): string | undefined {
-  const value = headers[name];
-  return typeof value === "string" ? value : undefined;
-}
-
-function resolveFailure(error: NodeJS.ErrnoException): FailureKind {
+function resolveFailure(
+  error: NodeJS.ErrnoException,
+  lossKind: FailureKind,
+): FailureKind {
   if (error.code === "ECONNREFUSED") return FailureKind.ConnectionRefused;
   if (error.code?.startsWith("HPE_")) return FailureKind.InvalidResponse;
-  return FailureKind.ConnectionLost;
+  return lossKind;
 }
--- a/tests/long_bodies_test.ts
+++ b/tests/long_bodies_test.ts
@@ -12,6 +12,8 @@
  * delay of a hedge, which is 100 ms on a route that is known to be fast.
  */
 const HOLD_MS = 400;
+/** Time after the stop for which a daemon keeps a timer, in milliseconds. */
+const GRACE_MS = "1000";
 /** Requests after which the daemon knows the time that the route takes. */
 const WARM_UP_REQUESTS = 8;
 
@@ -100,6 +102,7 @@
   const ports = servers.map(({ port }) => port);
   const daemon = await startDaemon({
     servers: [...unreachablePorts, ...ports],
+    flags: { "grace-ms": GRACE_MS },
   });
   try {
     for (let index = 0; index < WARM_UP_REQUESTS; index += 1) {
--- a/tools/lint_plugin.ts
+++ b/tools/lint_plugin.ts
@@ -7,6 +7,8 @@
 /** Function names that a library or the language prescribes. */
 const PRESCRIBED_NAMES = new Set([
   "constructor",
+  "keepSocketAlive",
+  "reuseSocket",
   "enqueue",
   "dequeue",
   "filter",
