--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -18,15 +18,10 @@
 import type { Overload } from "../overload/mod.ts";
 import type { Selection } from "../selection/mod.ts";
 import type { ServerNotices } from "../server_notices/mod.ts";
-import {
-  readResponseBody,
-  releaseResponse,
-  ResponseBodyKind,
-} from "./response_body.ts";
 import type { ResponseBody } from "./response_body.ts";
+import { checkResponse } from "./response_check.ts";
 import { BodyClaimKind } from "./request_body.ts";
 import type { BodyClaim, RequestBody } from "./request_body.ts";
-import { BodyError } from "./upstream.ts";
 import type { Attempt, UpstreamClient, UpstreamResponse } from "./upstream.ts";
 
 /** A request that is being forwarded. */
@@ -233,11 +228,6 @@
 }
 
 const SERVER_ERROR_STATUS = 500;
-const REDIRECTION_STATUS = 300;
-
-function isSuccess(status: number): boolean {
-  return status < REDIRECTION_STATUS;
-}
 
 /**
  * Whether an attempt got a response that is forwarded: one that a retry could
@@ -297,76 +287,6 @@
   }
 }
 
-/** Checks that a response belongs to this attempt and is complete. */
-export async function checkResponse(
-  attempt: Attempt,
-  response: UpstreamResponse,
-  clock: Clock,
-): Promise<AttemptResult> {
-  const { server } = attempt;
-  const peer = server.id;
-  // A response to another request, even a refusal, proves nothing about this.
-  if (response.attempt !== undefined && response.attempt !== attempt.id) {
-    response.cancel();
-    return {
-      kind: OutcomeKind.MayHaveRun,
-      failure: {
-        kind: FailureKind.ResponseMismatch,
-        step: Step.FirstByte,
-        peer,
-      },
-    };
-  }
-  if (response.isMisdirected) {
-    response.cancel();
-    return {
-      kind: OutcomeKind.NotRun,
-      failure: { kind: FailureKind.Misdirected, step: Step.FirstByte, peer },
-    };
-  }
-  if (response.isNotRun) {
-    void releaseResponse(response, clock);
-    return {
-      kind: OutcomeKind.NotRun,
-      failure: { kind: FailureKind.Shed, step: Step.FirstByte, peer },
-    };
-  }
-  if (response.isUnverified && isSuccess(response.status)) {
-    return createInvalidResult(attempt, response);
-  }
-  try {
-    const body = await readResponseBody(response);
-    // An unsigned error counts as the server's only if its body ends.
-    if (response.isUnverified && body.kind === ResponseBodyKind.Streamed) {
-      return createInvalidResult(attempt, response);
-    }
-    return {
-      kind: OutcomeKind.Responded,
-      accepted: { server, response, body },
-    };
-  } catch (error) {
-    response.cancel();
-    if (!(error instanceof BodyError)) throw error;
-    return { kind: OutcomeKind.MayHaveRun, failure: error.failure };
-  }
-}
-
-/** Cancels a response that can't be a valid one to this attempt. */
-function createInvalidResult(
-  { server }: Attempt,
-  response: UpstreamResponse,
-): AttemptResult {
-  response.cancel();
-  return {
-    kind: OutcomeKind.MayHaveRun,
-    failure: {
-      kind: FailureKind.InvalidResponse,
-      step: Step.FirstByte,
-      peer: server.id,
-    },
-  };
-}
-
 /** Whether a retry is safe: a request that may have run must be idempotent. */
 export function isRetryable(
   context: RequestContext,
--- a/src/services/forwarding/attempt_runner_test.ts
+++ b/src/services/forwarding/attempt_runner_test.ts
@@ -17,9 +17,10 @@
 import { Metrics } from "../metrics/mod.ts";
 import { Selection } from "../selection/mod.ts";
 import { ServerNotices } from "../server_notices/mod.ts";
-import { AttemptRunner, checkResponse } from "./attempt_runner.ts";
+import { AttemptRunner } from "./attempt_runner.ts";
 import type { AttemptDependencies, RequestContext } from "./attempt_runner.ts";
 import { BodyClaimKind } from "./request_body.ts";
+import { checkResponse } from "./response_check.ts";
 import type { Attempt, UpstreamResponse } from "./upstream.ts";
 
 /** Maximum number of requests from one VM to one server at the same time. */
--- /dev/null
+++ b/src/services/forwarding/retry_delay.ts
@@ -0,0 +1,47 @@
+/** Decides when refused callers should return. */
+import type { ServiceId } from "../../model/mod.ts";
+import type { Random } from "../random/mod.ts";
+import type { Selection } from "../selection/mod.ts";
+
+/** Minimum retry delay that a refused caller is given, in milliseconds. */
+const RETRY_AFTER_MIN_MS = 100;
+/**
+ * Range of the random extra retry delay in milliseconds, so that callers that
+ * were refused together don't all return at once.
+ */
+const RETRY_AFTER_SPREAD_MS = 300;
+/**
+ * Range of the random extra delay after a pause of all servers, relative to the
+ * pause: the longer it is, the more callers have been told to return.
+ */
+const PAUSE_SPREAD_RATIO = 0.5;
+
+/** Dependencies of {@linkcode RetryDelay}. */
+export interface RetryDelayDependencies {
+  readonly selection: Selection;
+  readonly random: Random;
+}
+
+/** Computes the retry delays of refused callers, with jitter. */
+export class RetryDelay {
+  readonly #deps: RetryDelayDependencies;
+
+  constructor(deps: RetryDelayDependencies) {
+    this.#deps = deps;
+  }
+
+  /** Returns the expected time until a server takes requests, plus jitter. */
+  getMs(service: ServiceId): number {
+    const { selection } = this.#deps;
+    const queueMs = selection.getQueueMs(service);
+    const pauseMs = selection.getPauseMs(service) *
+      (1 + this.#deps.random() * PAUSE_SPREAD_RATIO);
+    return this.computeMs(Math.max(queueMs, pauseMs));
+  }
+
+  /** Adds jitter to a time after which capacity is expected. */
+  computeMs(ms: number): number {
+    const spreadMs = this.#deps.random() * RETRY_AFTER_SPREAD_MS;
+    return Math.max(RETRY_AFTER_MIN_MS, ms) + spreadMs;
+  }
+}
