--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -18,14 +18,10 @@
 import type { Overload } from "../overload/mod.ts";
 import type { Selection } from "../selection/mod.ts";
 import type { ServerNotices } from "../server_notices/mod.ts";
-import {
-  readResponseBody,
-  releaseResponse,
-  ResponseBodyKind,
-} from "./response_body.ts";
 import type { ResponseBody } from "./response_body.ts";
-import type { RequestBody } from "./request_body.ts";
-import { BodyError } from "./upstream.ts";
+import { checkResponse } from "./response_check.ts";
+import { BodyClaimKind } from "./request_body.ts";
+import type { BodyClaim, RequestBody } from "./request_body.ts";
 import type { Attempt, UpstreamClient, UpstreamResponse } from "./upstream.ts";
 
 /** A request that is being forwarded. */
@@ -53,6 +49,20 @@
     readonly accepted: AcceptedResponse;
   };
 
+/** A claim that succeeded. */
+type ClaimedBody = Extract<BodyClaim, { kind: BodyClaimKind.Claimed }>;
+
+/** An attempt whose server was selected and whose body was claimed. */
+interface SelectedAttempt {
+  readonly context: RequestContext;
+  readonly server: Server;
+  readonly claim: ClaimedBody;
+  /** Cancels the attempt. */
+  readonly signal: AbortSignal;
+  /** Monotonic time at which its wait for the server began. */
+  readonly selectedAt: number;
+}
+
 /** Dependencies of {@linkcode AttemptRunner}. */
 export interface AttemptDependencies {
   readonly admission: Admission;
@@ -78,55 +88,70 @@
     this.#deps = deps;
   }
 
-  /** Sends a request to one server; `signal` cancels only this attempt. */
+  /**
+   * Sends a request to one server, unless another attempt sends its body;
+   * `signal` cancels only this attempt.
+   */
   async run(
     context: RequestContext,
     server: Server,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const { dispatch, selection, detector, overload, clock, metrics } =
-      this.#deps;
-    const selectedAt = clock.now();
-    return await dispatch.runOnServer(server.id, async () => {
-      // The server or the caller's key may have changed during the wait.
-      if (!this.#checkSend(context, server)) {
-        const failure = {
-          kind: FailureKind.NoServer,
-          step: Step.Queue,
-          peer: server.id,
-        };
-        return { kind: OutcomeKind.NotRun, failure };
-      }
-      this.#recordSend(context, server, clock.now() - selectedAt);
-      const tracked = detector.recordStart(server);
-      metrics.add(Counter.Attempts);
-      const hadCapacity = selection.recordStart(server);
-      const attempt = this.#createAttempt(context, server, signal);
-      const outcome = await this.#deps.upstream.send(attempt);
-      const result = outcome.kind === OutcomeKind.Responded
-        ? await checkResponse(attempt, outcome.response, clock)
-        : outcome;
-      const response = outcome.kind === OutcomeKind.Responded
-        ? outcome.response
-        : undefined;
-      const latencyMs = clock.now() - tracked.startedAt;
-      selection.recordEnd(
-        server,
-        response && {
-          latencyMs: isProcessed(result) ? latencyMs : undefined,
-          load: response.load,
-          isShed: response.isNotRun,
-          hadCapacity,
-        },
-      );
-      if (isProcessed(result) && hadCapacity) {
-        const { service, route } = context.plan;
-        overload.recordProcessingTime(service, route.id, latencyMs);
-      }
-      if (response) this.#recordNotices(server, response);
-      detector.recordEnd(tracked, getVerdict(result));
-      return result;
-    });
+    const selectedAt = this.#deps.clock.now();
+    const claim = context.body.claim();
+    switch (claim.kind) {
+      case BodyClaimKind.Unavailable:
+        this.#recordFailedClaim(context, server);
+        return createUnsentResult(server, FailureKind.BodyUnavailable);
+      case BodyClaimKind.Claimed:
+        try {
+          return await this.#deps.dispatch.runOnServer(
+            server.id,
+            () =>
+              this.#sendAttempt({ context, server, claim, signal, selectedAt }),
+          );
+        } finally {
+          claim.release();
+        }
+    }
+  }
+
+  async #sendAttempt(selected: SelectedAttempt): Promise<AttemptResult> {
+    const { context, server, selectedAt } = selected;
+    const { selection, detector, overload, clock, metrics } = this.#deps;
+    // The server or the caller's key may have changed during the wait.
+    if (!this.#checkSend(context, server)) {
+      return createUnsentResult(server, FailureKind.NoServer);
+    }
+    this.#recordSend(context, server, clock.now() - selectedAt);
+    const tracked = detector.recordStart(server);
+    metrics.add(Counter.Attempts);
+    const hadCapacity = selection.recordStart(server);
+    const attempt = this.#createAttempt(selected);
+    const outcome = await this.#deps.upstream.send(attempt);
+    const result = outcome.kind === OutcomeKind.Responded
+      ? await checkResponse(attempt, outcome.response, clock)
+      : outcome;
+    const response = outcome.kind === OutcomeKind.Responded
+      ? outcome.response
+      : undefined;
+    const latencyMs = clock.now() - tracked.startedAt;
+    selection.recordEnd(
+      server,
+      response && {
+        latencyMs: isProcessed(result) ? latencyMs : undefined,
+        load: response.load,
+        isShed: response.isNotRun,
+        hadCapacity,
+      },
+    );
+    if (isProcessed(result) && hadCapacity) {
+      const { service, route } = context.plan;
+      overload.recordProcessingTime(service, route.id, latencyMs);
+    }
+    if (response) this.#recordNotices(server, response);
+    detector.recordEnd(tracked, getVerdict(result));
+    return result;
   }
 
   /** Records what the server's response says about the server itself. */
@@ -164,11 +189,15 @@
     return false;
   }
 
-  #createAttempt(
-    context: RequestContext,
-    server: Server,
-    signal: AbortSignal,
-  ): Attempt {
+  #recordFailedClaim({ plan }: RequestContext, server: Server): void {
+    this.#deps.logger.info("another attempt sends the body; sending no more", {
+      request: plan.attempt ?? "",
+      server: server.id,
+    });
+  }
+
+  #createAttempt(selected: SelectedAttempt): Attempt {
+    const { context, server, claim, signal } = selected;
     const { plan, body } = context;
     this.#attemptCount += 1;
     return {
@@ -180,7 +209,7 @@
       target: plan.target,
       headers: plan.headers,
       bodyLength: body.length,
-      body: body.read(),
+      body: claim.chunks,
       remainingMs: plan.deadlineAt - this.#deps.clock.now(),
       mayReuseConnection: plan.route.idempotency === Idempotency.Idempotent,
       isAllowed: () => this.#checkSend(context, server),
@@ -189,21 +218,28 @@
   }
 }
 
-const SERVER_ERROR_STATUS = 500;
-const REDIRECTION_STATUS = 300;
-
-function isSuccess(status: number): boolean {
-  return status < REDIRECTION_STATUS;
+/** Creates the result of an attempt that ended before it was sent. */
+function createUnsentResult(
+  server: Server,
+  kind: FailureKind,
+): Extract<AttemptResult, { kind: OutcomeKind.NotRun }> {
+  const failure = { kind, step: Step.Queue, peer: server.id };
+  return { kind: OutcomeKind.NotRun, failure };
 }
 
-/** Whether an attempt got a response that a retry could not improve. */
+const SERVER_ERROR_STATUS = 500;
+
+/**
+ * Whether an attempt got a response that is forwarded: one that a retry could
+ * not improve, or after which the body can't be sent again.
+ */
 export function isFinal(
   context: RequestContext,
   result: AttemptResult,
 ): result is Extract<AttemptResult, { kind: OutcomeKind.Responded }> {
   if (result.kind !== OutcomeKind.Responded) return false;
   const { status } = result.accepted.response;
-  return status < SERVER_ERROR_STATUS ||
+  return status < SERVER_ERROR_STATUS || !context.body.canClaim ||
     !isRetryable(context, OutcomeKind.MayHaveRun);
 }
 
@@ -236,6 +272,7 @@
     case FailureKind.Shed:
     case FailureKind.QueueFull:
     case FailureKind.NoServer:
+    case FailureKind.BodyUnavailable:
       return AttemptVerdict.Neutral;
     case FailureKind.ConnectionRefused:
     case FailureKind.Misdirected:
@@ -250,82 +287,12 @@
   }
 }
 
-/** Checks that a response belongs to this attempt and is complete. */
-export async function checkResponse(
-  attempt: Attempt,
-  response: UpstreamResponse,
-  clock: Clock,
-): Promise<AttemptResult> {
-  const { server } = attempt;
-  const peer = server.id;
-  // A response to another request, even a refusal, proves nothing about this.
-  if (response.attempt !== undefined && response.attempt !== attempt.id) {
-    response.cancel();
-    return {
-      kind: OutcomeKind.MayHaveRun,
-      failure: {
-        kind: FailureKind.ResponseMismatch,
-        step: Step.FirstByte,
-        peer,
-      },
-    };
-  }
-  if (response.isMisdirected) {
-    response.cancel();
-    return {
-      kind: OutcomeKind.NotRun,
-      failure: { kind: FailureKind.Misdirected, step: Step.FirstByte, peer },
-    };
-  }
-  if (response.isNotRun) {
-    void releaseResponse(response, clock);
-    return {
-      kind: OutcomeKind.NotRun,
-      failure: { kind: FailureKind.Shed, step: Step.FirstByte, peer },
-    };
-  }
-  if (response.isUnverified && isSuccess(response.status)) {
-    return createInvalidResult(attempt, response);
-  }
-  try {
-    const body = await readResponseBody(response);
-    // An unsigned error counts as the server's only if its body ends.
-    if (response.isUnverified && body.kind === ResponseBodyKind.Streamed) {
-      return createInvalidResult(attempt, response);
-    }
-    return {
-      kind: OutcomeKind.Responded,
-      accepted: { server, response, body },
-    };
-  } catch (error) {
-    response.cancel();
-    if (!(error instanceof BodyError)) throw error;
-    return { kind: OutcomeKind.MayHaveRun, failure: error.failure };
-  }
-}
-
-/** Cancels a response that can't be a valid one to this attempt. */
-function createInvalidResult(
-  { server }: Attempt,
-  response: UpstreamResponse,
-): AttemptResult {
-  response.cancel();
-  return {
-    kind: OutcomeKind.MayHaveRun,
-    failure: {
-      kind: FailureKind.InvalidResponse,
-      step: Step.FirstByte,
-      peer: server.id,
-    },
-  };
-}
-
 /** Whether a retry is safe: a request that may have run must be idempotent. */
 export function isRetryable(
   context: RequestContext,
   kind: OutcomeKind,
 ): boolean {
-  if (context.signal.aborted || !context.body.isReplayable) return false;
+  if (context.signal.aborted) return false;
   switch (kind) {
     case OutcomeKind.NotRun:
       return true;
