--- a/src/services/feed/mod.ts
+++ b/src/services/feed/mod.ts
@@ -65,6 +65,11 @@
 export class Feed {
   readonly #deps: FeedDependencies;
   #isStoreReachable = true;
+  /**
+   * Offset of the newest configuration, if it is unreadable. Until a readable
+   * one at a later offset was applied, no read confirms the one in force.
+   */
+  #unreadableAt: Offset | undefined;
 
   /** Creates a feed that has not read anything yet. */
   constructor(deps: FeedDependencies) {
@@ -92,9 +97,11 @@
       switch (read.kind) {
         case FeedReadKind.Updates: {
           failures = 0;
-          const isApplied = this.#applyDocuments(read.updates);
+          this.#applyDocuments(read.updates);
           position = read.next;
-          if (read.isComplete && isApplied) relay.recordRead(requestedAt);
+          if (read.isComplete && this.#unreadableAt === undefined) {
+            relay.recordRead(requestedAt);
+          }
           break;
         }
         case FeedReadKind.OutOfRange:
@@ -159,25 +166,31 @@
     }
   }
 
-  /** Applies configurations; returns false if the newest is unreadable. */
-  #applyDocuments(updates: readonly DocumentUpdate[]): boolean {
-    const { relay, logger } = this.#deps;
-    let isReadable = true;
+  #applyDocuments(updates: readonly DocumentUpdate[]): void {
     for (const update of updates) {
       switch (update.kind) {
         case DocumentUpdateKind.Readable:
-          isReadable = true;
-          relay.applyDocument(update.document);
+          if (update.offset > (this.#unreadableAt ?? -1)) {
+            this.#unreadableAt = undefined;
+          }
+          this.#deps.relay.applyDocument(update.document);
           break;
         case DocumentUpdateKind.Unreadable:
-          isReadable = false;
-          logger.error("ignored an unreadable configuration", {
-            reason: update.reason,
-          });
+          this.#recordUnreadable(update.offset, update.reason);
           break;
       }
     }
-    return isReadable;
+  }
+
+  #recordUnreadable(offset: Offset, reason: string): void {
+    if (offset <= (this.#unreadableAt ?? -1)) return;
+    this.#unreadableAt = offset;
+    const { logger } = this.#deps;
+    logger.error(
+      "the newest configuration is unreadable; the one in force is not " +
+        "confirmed until a readable one is published",
+      { reason, offset },
+    );
   }
 
   #applyServers({ updates }: ReadServers, now: number): void {
--- a/src/services/feed/source.ts
+++ b/src/services/feed/source.ts
@@ -47,9 +47,14 @@
 export type DocumentUpdate =
   | {
     readonly kind: DocumentUpdateKind.Readable;
+    readonly offset: Offset;
     readonly document: ConfigurationDocument;
   }
-  | { readonly kind: DocumentUpdateKind.Unreadable; readonly reason: string };
+  | {
+    readonly kind: DocumentUpdateKind.Unreadable;
+    readonly offset: Offset;
+    readonly reason: string;
+  };
 
 /** Kinds of {@linkcode ServerUpdate}. */
 export enum ServerUpdateKind {
--- a/tests/feed_world.ts
+++ b/tests/feed_world.ts
@@ -3,7 +3,7 @@
 import type { MemoryTransport } from "../standins/memory_network.ts";
 import { VirtualClock, VirtualTime } from "../standins/virtual_clock.ts";
 import { PresetName, ServerPhase, VmPhase } from "../src/model/mod.ts";
-import type { ConfigurationDocument, Preset, Team } from "../src/model/mod.ts";
+import type { Preset, Team } from "../src/model/mod.ts";
 import { Configuration } from "../src/services/configuration/mod.ts";
 import { Feed } from "../src/services/feed/mod.ts";
 import { FeedRelay } from "../src/services/feed/relay.ts";
@@ -14,6 +14,7 @@
   ServerUpdateKind,
 } from "../src/services/feed/source.ts";
 import type {
+  DocumentUpdate,
   FeedRead,
   FeedSource,
   ServerEntry,
@@ -261,9 +262,10 @@
       return new Uint8Array();
     },
   });
-  readonly documents = new MemoryTopic<
-    { kind: DocumentUpdateKind.Readable; document: ConfigurationDocument }
-  >({ getKey: () => "configuration", isRemoval: () => false });
+  readonly documents = new MemoryTopic<DocumentUpdate>({
+    getKey: () => "configuration",
+    isRemoval: () => false,
+  });
   readonly directory = new MemoryTopic<VmUpdate>({
     getKey: (update) =>
       update.kind === VmUpdateKind.Announced ? update.vm.name : update.name,
@@ -376,9 +378,19 @@
     this.vms.splice(this.vms.indexOf(vm), 1);
   }
 
+  /** Publishes a configuration that no VM can read. */
+  publishUnreadable(): void {
+    this.documents.add({
+      kind: DocumentUpdateKind.Unreadable,
+      offset: this.documents.updates.length,
+      reason: "is not JSON",
+    });
+  }
+
   publish(version: number): void {
     this.documents.add({
       kind: DocumentUpdateKind.Readable,
+      offset: this.documents.updates.length,
       document: {
         version,
         routes: [],
--- a/tests/store_client_test.ts
+++ b/tests/store_client_test.ts
@@ -24,9 +24,10 @@
 /** Wait of a read that exceeds the idle limit of a connection. */
 const LONG_WAIT_MS = 2_500;
 
+const EMPTY_PAGE = JSON.stringify({ items: [], HasMore: false, End: 0 });
+
 /** Starts a store that responds only to the first call on each connection. */
-async function startOneResponseStore(): Promise<net.Server> {
-  const body = JSON.stringify({ items: [], HasMore: false, End: 0 });
+async function startOneResponseStore(body = EMPTY_PAGE): Promise<net.Server> {
   const head = `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n`;
   const server = net.createServer((socket) => {
     socket.on("error", () => socket.destroy());
@@ -67,3 +68,53 @@
     await standin.close();
   }
 });
+
+const ITEM = { Key: "config", Value: "e30=", Offset: 0 };
+const MALFORMED_PAGES: readonly unknown[] = [
+  {},
+  null,
+  [],
+  7,
+  { HasMore: false, End: 0 },
+  { items: null, HasMore: false, End: 0 },
+  { items: {}, HasMore: false, End: 0 },
+  { items: [null], HasMore: false, End: 1 },
+  { items: ["config"], HasMore: false, End: 1 },
+  { items: [{ ...ITEM, Key: 1 }], HasMore: false, End: 1 },
+  { items: [{ ...ITEM, Value: 1 }], HasMore: false, End: 1 },
+  { items: [{ ...ITEM, Offset: "0" }], HasMore: false, End: 1 },
+  { items: [{ ...ITEM, Offset: -1 }], HasMore: false, End: 1 },
+  { items: [ITEM], HasMore: false },
+  { items: [ITEM], HasMore: false, End: 0.5 },
+  { items: [], HasMore: true, End: 1 },
+];
+
+// Guards against a page that ends the task that reads: the promise rejected.
+test("a malformed page of the newest records is a failed read", async () => {
+  for (const page of MALFORMED_PAGES) {
+    const server = await startOneResponseStore(JSON.stringify(page));
+    const { port } = server.address() as AddressInfo;
+    const store = createStoreClient({ host: "127.0.0.1", port });
+    try {
+      const read = await store.listNewest("keyed.op");
+      assert.equal(read.kind, StoreResultKind.Lost, JSON.stringify(page));
+    } finally {
+      store.close();
+      server.close();
+    }
+  }
+});
+
+// Guards against reads in a loop without a pause, which found no record each.
+test("a read of part of one record is a failed read", async () => {
+  const server = await startOneResponseStore(`${"\0".repeat(18)}\x07abc`);
+  const { port } = server.address() as AddressInfo;
+  const store = createStoreClient({ host: "127.0.0.1", port });
+  try {
+    const read = await store.readFrom("keyed.op", 0, 0);
+    assert.equal(read.kind, StoreResultKind.Lost);
+  } finally {
+    store.close();
+    server.close();
+  }
+});
