--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -181,6 +181,7 @@
       ServiceName.ServerRegistry,
       ServiceName.DocumentSource,
       ServiceName.ServerSource,
+      ServiceName.StoreEras,
       ServiceName.Metrics,
       ServiceName.Logging,
     ],
@@ -192,6 +193,7 @@
         registry: find(ServiceName.ServerRegistry),
         documents: find(ServiceName.DocumentSource),
         servers: find(ServiceName.ServerSource),
+        eras: find(ServiceName.StoreEras),
         metrics: find(ServiceName.Metrics),
         logger: find(ServiceName.Logging).createLogger("feed"),
       });
--- a/src/daemon/wiring/platform.ts
+++ b/src/daemon/wiring/platform.ts
@@ -34,6 +34,11 @@
     dependencies: [ServiceName.Settings],
     create: (find) => createServerSource(getStore(find(ServiceName.Settings))),
   }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.StoreEras,
+    dependencies: [ServiceName.Settings],
+    create: (find) => getStore(find(ServiceName.Settings)).eras,
+  }));
   kernel.add(createServiceDefinition({
     name: ServiceName.VmDirectory,
     dependencies: [ServiceName.Settings],
--- a/src/protocols/fleet/message_codec.ts
+++ b/src/protocols/fleet/message_codec.ts
@@ -128,6 +128,7 @@
   }),
   z.object({
     kind: z.literal(FleetMessageKind.DomainReport),
+    version: count,
     usage: usages,
     vms: z.array(liveVm).optional(),
     vmChanges: liveVmChanges.optional(),
@@ -147,6 +148,7 @@
     kind: z.literal(FleetMessageKind.Servers),
     offset: z.int(),
     listings: z.array(listing),
+    tombstones: z.array(serverTombstone),
   }),
   z.object({ kind: z.literal(FleetMessageKind.ServerSet), listing }),
   z.object({
--- a/src/services/catalog.ts
+++ b/src/services/catalog.ts
@@ -17,6 +17,7 @@
 import type { ServerRegistry } from "./feed/server_registry.ts";
 import type {
   DocumentUpdate,
+  EraSource,
   FeedSource,
   ServerUpdate,
 } from "./feed/source.ts";
@@ -93,6 +94,7 @@
   DetectionPolicy = "detection_policy",
   DocumentSource = "document_source",
   ServerSource = "server_source",
+  StoreEras = "store_eras",
   ServerRegistry = "server_registry",
   Feed = "feed",
   FeedRelay = "feed_relay",
@@ -155,6 +157,7 @@
   [ServiceName.DetectionPolicy]: DetectionPolicy;
   [ServiceName.DocumentSource]: FeedSource<DocumentUpdate>;
   [ServiceName.ServerSource]: FeedSource<ServerUpdate>;
+  [ServiceName.StoreEras]: EraSource;
   [ServiceName.ServerRegistry]: ServerRegistry;
   [ServiceName.Feed]: Feed;
   [ServiceName.FeedRelay]: FeedRelay;
--- a/src/services/feed/mod.ts
+++ b/src/services/feed/mod.ts
@@ -1,4 +1,5 @@
 /** Feed service: reads configurations and servers from the store. */
+import { getEra, getOffsetInEra } from "../../model/mod.ts";
 import type { Offset } from "../../model/mod.ts";
 import type { Clock } from "../clock/mod.ts";
 import type { Logger } from "../logging/mod.ts";
@@ -16,6 +17,8 @@
 } from "./source.ts";
 import type {
   DocumentUpdate,
+  EraChange,
+  EraSource,
   FeedRead,
   FeedSource,
   ServerUpdate,
@@ -39,8 +42,28 @@
 const RETRY_MIN_MS = 150;
 /** Maximum delay before a retry of a failed read. */
 const RETRY_MAX_MS = 1_000;
+/**
+ * The same for a hub. It reads again before most of its followers, which then
+ * need not read the store themselves.
+ */
+const HUB_RETRY_MAX_MS = 400;
 /** Random share of a retry delay; keeps VMs from retrying simultaneously. */
 const RETRY_JITTER_RATIO = 0.5;
+/**
+ * Maximum random delay before a hub reads the newest records of a new era. Its
+ * followers read the store themselves if it takes 1.4 s.
+ */
+const HUB_ERA_SPREAD_MS = 200;
+/**
+ * Minimum delay of other VMs. A hub has read (400 ms until it retries, 200 ms of
+ * spread) and reported (250 ms) by then, so that its followers need not read.
+ */
+const ERA_DELAY_MS = 850;
+/**
+ * Random extra delay of other VMs: 300 VMs that all have no hub make 200 reads
+ * of each stream a second.
+ */
+const ERA_SPREAD_MS = 1_500;
 /** Interval between checks whether this VM must read the store itself. */
 const READER_CHECK_MS = 200;
 
@@ -52,6 +75,7 @@
   readonly registry: ServerRegistry;
   readonly documents: FeedSource<DocumentUpdate>;
   readonly servers: FeedSource<ServerUpdate>;
+  readonly eras: EraSource;
   readonly metrics: Metrics;
   readonly logger: Logger;
 }
@@ -70,10 +94,13 @@
    * one at a later offset was applied, no read confirms the one in force.
    */
   #unreadableAt: Offset | undefined;
+  /** Position of the next read of configurations. */
+  #documentsUpTo: Offset = 0;
 
   /** Creates a feed that has not read anything yet. */
   constructor(deps: FeedDependencies) {
     this.#deps = deps;
+    deps.eras.addListener((change) => this.#recordEra(change));
   }
 
   /** Reads configurations until `signal` aborts. */
@@ -81,24 +108,28 @@
     const { documents, clock, relay } = this.#deps;
     let position: Offset | undefined;
     let failures = 0;
+    let isHubAwaited = false;
     while (!signal.aborted) {
       if (!relay.isReader()) {
         position = undefined;
         failures = 0;
+        isHubAwaited = false;
         relay.recordIdle(FeedStream.Configurations);
         await clock.sleep(READER_CHECK_MS, signal);
         continue;
       }
       const requestedAt = clock.now();
       const read = position === undefined
-        ? await documents.readNewest()
+        ? await this.#readNewest(documents, failures, isHubAwaited)
         : await documents.readFrom(position, DOCUMENT_WAIT_MS);
       this.#recordReachability(read, FeedStream.Configurations, requestedAt);
       switch (read.kind) {
         case FeedReadKind.Updates: {
           failures = 0;
+          isHubAwaited = false;
           this.#applyDocuments(read.updates);
           position = read.next;
+          this.#documentsUpTo = position;
           if (read.isComplete && this.#unreadableAt === undefined) {
             relay.recordRead(requestedAt);
           }
@@ -107,6 +138,11 @@
         case FeedReadKind.OutOfRange:
           position = undefined;
           break;
+        case FeedReadKind.EraChanged:
+          position = undefined;
+          isHubAwaited = true;
+          await clock.sleep(this.#computeEraDelayMs(), signal);
+          break;
         case FeedReadKind.Unavailable:
           await clock.sleep(this.#computeDelayMs(failures), signal);
           failures += 1;
@@ -120,6 +156,7 @@
     const { servers, clock, registry, relay } = this.#deps;
     let position: Offset | undefined;
     let failures = 0;
+    let isHubAwaited = false;
     while (!signal.aborted) {
       registry.removeExpired(clock.now());
       const isReread = relay.collectRereadRequest();
@@ -127,6 +164,7 @@
       if (!isReread && !relay.isReader()) {
         position = undefined;
         failures = 0;
+        isHubAwaited = false;
         relay.recordIdle(FeedStream.Servers);
         await clock.sleep(READER_CHECK_MS, signal);
         continue;
@@ -134,7 +172,7 @@
       const requestedAt = clock.now();
       const offsetBefore = registry.offset;
       const read = position === undefined
-        ? await servers.readNewest()
+        ? await this.#readNewest(servers, failures, isHubAwaited)
         : await servers.readFrom(
           position,
           registry.hasExpired ? 0 : SERVER_WAIT_MS,
@@ -145,6 +183,7 @@
         case FeedReadKind.Updates:
           if (failures > 0) registry.recordOutageEnd(now);
           failures = 0;
+          isHubAwaited = false;
           if (position !== undefined) this.#applyServers(read, now);
           else this.#replaceServers(read, offsetBefore, now);
           position = read.next;
@@ -158,6 +197,11 @@
         case FeedReadKind.OutOfRange:
           position = undefined;
           break;
+        case FeedReadKind.EraChanged:
+          position = undefined;
+          isHubAwaited = true;
+          await clock.sleep(this.#computeEraDelayMs(), signal);
+          break;
         case FeedReadKind.Unavailable:
           await clock.sleep(this.#computeDelayMs(failures), signal);
           failures += 1;
@@ -166,6 +210,33 @@
     }
   }
 
+  /**
+   * Reads the newest records. After an outage or a restore, all VMs are about to
+   * read all records. Those other than hubs therefore first make a short read;
+   * the result is `EraChanged` if they should wait for their hub instead.
+   */
+  async #readNewest<Update>(
+    source: FeedSource<Update>,
+    failures: number,
+    isHubAwaited: boolean,
+  ): Promise<FeedRead<Update>> {
+    const { relay, registry, servers } = this.#deps;
+    if (isHubAwaited || relay.isHub() || registry.offset < 0) {
+      return await source.readNewest();
+    }
+    const check = await servers.readFrom(registry.offset + 1, 0);
+    switch (check.kind) {
+      case FeedReadKind.EraChanged:
+      case FeedReadKind.Unavailable:
+        return check;
+      case FeedReadKind.Updates:
+      case FeedReadKind.OutOfRange:
+        return failures > 0
+          ? { kind: FeedReadKind.EraChanged }
+          : await source.readNewest();
+    }
+  }
+
   #applyDocuments(updates: readonly DocumentUpdate[]): void {
     for (const update of updates) {
       switch (update.kind) {
@@ -207,7 +278,8 @@
   ): void {
     const { registry, logger } = this.#deps;
     const offset = next - 1;
-    if (offset < offsetBefore) {
+    // Without eras, only this tells that the store is another one.
+    if (offset < offsetBefore && getEra(offsetBefore) === 0) {
       logger.warn(
         "the store ends below the known offset; discarding the known servers",
         { offset, known: offsetBefore },
@@ -247,8 +319,28 @@
     if (remainingMs > 0) await clock.sleep(remainingMs, signal);
   }
 
+  #recordEra({ earlier, era }: EraChange): void {
+    const { registry, relay, metrics, logger } = this.#deps;
+    metrics.add(Counter.StoreEras);
+    logger.warn("the store has a new era; reading its newest records again", {
+      earlier,
+      era,
+      serversUpTo: getOffsetInEra(registry.offset),
+      configurationsUpTo: getOffsetInEra(this.#documentsUpTo),
+      version: relay.getKnown().version,
+    });
+  }
+
+  #computeEraDelayMs(): number {
+    const { relay, random } = this.#deps;
+    if (relay.isHub()) return random() * HUB_ERA_SPREAD_MS;
+    return ERA_DELAY_MS + random() * ERA_SPREAD_MS;
+  }
+
   #computeDelayMs(failures: number): number {
-    const longestMs = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** failures);
-    return longestMs * (1 - RETRY_JITTER_RATIO * this.#deps.random());
+    const { relay, random } = this.#deps;
+    const maxMs = relay.isHub() ? HUB_RETRY_MAX_MS : RETRY_MAX_MS;
+    const longestMs = Math.min(maxMs, RETRY_MIN_MS * 2 ** failures);
+    return longestMs * (1 - RETRY_JITTER_RATIO * random());
   }
 }
--- a/src/services/feed/relay.ts
+++ b/src/services/feed/relay.ts
@@ -42,6 +42,14 @@
  */
 const DIFFERENCE_LIMIT_MS = 1_000;
 
+/**
+ * Minimum time for which a hub must have had an older configuration than this
+ * VM until it is sent the newer one; usually it reads that itself meanwhile.
+ */
+const OLDER_VERSION_LIMIT_MS = 500;
+/** Random extra time; most followers learn that another one was first. */
+const OLDER_VERSION_SPREAD_MS = 2_000;
+
 /** Dependencies of {@linkcode FeedRelay}. */
 export interface FeedRelayDependencies {
   readonly clock: Clock;
@@ -53,11 +61,19 @@
   readonly logger: Logger;
 }
 
+/** A configuration to be sent to a hub, unless that gets it meanwhile. */
+interface DocumentResend {
+  readonly version: Offset;
+  /** Monotonic time from which it is sent; infinite once it was. */
+  readonly dueAt: number;
+}
+
 /** Relays updates of the store within one failure domain. */
 export class FeedRelay implements ConfirmationSource {
   readonly #deps: FeedRelayDependencies;
   #document: ConfigurationDocument | undefined;
-  #confirmation: { requestedAt: number; version: Offset } | undefined;
+  /** Request time of the newest complete read of configurations. */
+  #confirmedAt: number | undefined;
   /** Time at which the newest read of servers was requested. */
   #serversRequestedAt: number | undefined;
   /** Time of the newest call for each stream, if it got no response. */
@@ -70,6 +86,8 @@
   /** Newest time at which this VM and its hub had the same servers. */
   #matchedAt: number;
   #isRereadDue = false;
+  /** Configurations that hubs with an older one are sent, once each. */
+  readonly #resends = new WeakMap<Link, DocumentResend>();
 
   /** Creates a relay and registers its message handlers. */
   constructor(deps: FeedRelayDependencies) {
@@ -84,15 +102,27 @@
     });
     fleet.setHandler(FleetMessageKind.Servers, (message, link) => {
       if (link.kind !== LinkKind.Uplink) return;
-      const { listings, offset } = message;
-      const origin = ServerOrigin.HubList;
-      registry.replaceAll(listings, offset, this.#now(), origin);
+      const { listings, offset, tombstones } = message;
+      const contradicted = registry.replaceAll(
+        listings,
+        offset,
+        this.#now(),
+        ServerOrigin.HubList,
+        tombstones,
+      );
+      for (const server of contradicted) {
+        link.send({ kind: FleetMessageKind.ServerRemoved, server });
+      }
     });
     fleet.setHandler(FleetMessageKind.ServerSet, ({ listing }) => {
       registry.setRelayed(listing, this.#now());
     });
-    fleet.setHandler(FleetMessageKind.ServerRemoved, ({ server }) => {
-      registry.removeRelayed(server);
+    fleet.setHandler(FleetMessageKind.ServerRemoved, ({ server }, link) => {
+      if (link.kind === LinkKind.Uplink) {
+        registry.removeRelayed(server, this.#now());
+      } else {
+        registry.removeContradicted(server);
+      }
     });
     registry.setListener({
       recordSet: (listing) =>
@@ -117,6 +147,11 @@
     }
   }
 
+  /** Whether this VM reads the store for others. */
+  isHub(): boolean {
+    return this.#deps.fleet.role === FleetRole.Hub;
+  }
+
   /** Applies a configuration and sends it to followers, if it is newer. */
   applyDocument(document: ConfigurationDocument): void {
     const { configuration, fleet, logger } = this.#deps;
@@ -134,12 +169,8 @@
 
   /** Records that a read at `requestedAt` was complete and has been applied. */
   recordRead(requestedAt: number): void {
-    const { configuration, freshness } = this.#deps;
-    freshness.recordLogRead(requestedAt);
-    this.#confirmation = {
-      requestedAt,
-      version: configuration.offset,
-    };
+    this.#deps.freshness.recordLogRead(requestedAt);
+    this.#confirmedAt = requestedAt;
   }
 
   /** Records that a read of servers requested at `requestedAt` was applied. */
@@ -168,9 +199,10 @@
   }
 
   getConfirmation(): Confirmation | undefined {
-    if (this.#confirmation === undefined) return undefined;
+    if (this.#confirmedAt === undefined) return undefined;
     return {
-      ...this.#confirmation,
+      requestedAt: this.#confirmedAt,
+      version: this.#deps.configuration.offset,
       serversRequestedAt: this.#serversRequestedAt,
     };
   }
@@ -205,6 +237,7 @@
       kind: FleetMessageKind.Servers,
       offset: registry.offset,
       listings: registry.list(),
+      tombstones: registry.listRecentTombstones(),
     };
   }
 
@@ -216,16 +249,47 @@
     };
   }
 
+  /**
+   * Sends a hub this VM's configuration if it has had an older one for too
+   * long: a store that was restored from a copy may contain only that one.
+   */
+  checkVersion(version: Offset, link: Link): void {
+    const document = this.#document;
+    if (document === undefined || version >= document.version) return;
+    const now = this.#now();
+    const known = this.#resends.get(link);
+    const resend = known?.version === document.version
+      ? known
+      : { version: document.version, dueAt: this.#computeDueAt(now) };
+    this.#resends.set(link, resend);
+    if (now < resend.dueAt) return;
+    this.#resends.set(link, { ...resend, dueAt: Infinity });
+    this.#deps.logger.warn("sending a hub a newer configuration than it has", {
+      hub: link.vm.name,
+      version: document.version,
+      earlier: version,
+    });
+    link.send({ kind: FleetMessageKind.Document, document });
+  }
+
+  #computeDueAt(now: number): number {
+    return now + OLDER_VERSION_LIMIT_MS +
+      OLDER_VERSION_SPREAD_MS * this.#deps.random();
+  }
+
   /** Requests a read of the store if the hub's servers differ for too long. */
   checkServersDigest(digest: number, link: Link): void {
     const now = this.#now();
-    if (digest === this.getKnown().serversDigest) this.#matchedAt = now;
+    const { registry } = this.#deps;
+    // Servers that are retained for a grace period differ from the hub's.
+    const isSame = digest === this.getKnown().serversDigest;
+    if (isSame || registry.hasExpired) this.#matchedAt = now;
     if (now - this.#matchedAt < DIFFERENCE_LIMIT_MS) return;
     this.#matchedAt = now;
     this.#isRereadDue = true;
     this.#deps.logger.warn(
       "this VM's servers differ from the hub's; reading the store again",
-      { hub: link.vm.name, offset: this.#deps.registry.offset },
+      { hub: link.vm.name, offset: registry.offset },
     );
   }
 
--- a/src/services/feed/server_registry.ts
+++ b/src/services/feed/server_registry.ts
@@ -1,5 +1,5 @@
 /** Registry of backend servers, built from the entries that they write. */
-import { ServerPhase } from "../../model/mod.ts";
+import { getEra, ServerPhase } from "../../model/mod.ts";
 import type { Offset, Server, ServerId, ServiceId } from "../../model/mod.ts";
 import type { Configuration } from "../configuration/mod.ts";
 import { computeHash } from "../hashing/mod.ts";
@@ -13,8 +13,8 @@
 } from "./source.ts";
 
 /**
- * Time after an outage of the store in which an expired entry may be written
- * again; the platform guarantees about two seconds.
+ * Time after an outage or a restore of the store in which a missing entry may
+ * be written again; the platform guarantees about two seconds.
  */
 const EXPIRY_GRACE_MS = 2_200;
 /**
@@ -25,6 +25,8 @@
 const OUTAGE_RATIO_MIN = 0.5;
 /** Maximum number of tombstones, by which late entries are rejected. */
 const MAX_TOMBSTONES = 10_000;
+/** Number of tombstones sent with a list: those of the last minutes. */
+const RECENT_TOMBSTONES = 200;
 
 /** Tombstone of a server: its newest version and the offset of its removal. */
 export interface ServerTombstone extends ServerVersion {
@@ -32,8 +34,17 @@
   readonly offset: Offset;
 }
 
+/** Why the entry of a server that is retained may be missing. */
+enum MissingCause {
+  /** It expired while the server could not reach the store. */
+  Outage = "outage",
+  /** The store was restored from a copy that did not contain it. */
+  NewEra = "new_era",
+}
+
 /** A server that is retained for a grace period although its entry expired. */
 interface ExpiredServer {
+  readonly cause: MissingCause;
   /** Offset at which the entry was found missing. */
   readonly offset: Offset;
   /** Monotonic time at which the server is removed, in milliseconds. */
@@ -74,6 +85,8 @@
   #offset: Offset = -1;
   /** Monotonic time until which a missing entry may be due to an outage. */
   #graceUntil = -Infinity;
+  /** The same for a restore of the store. */
+  #eraGraceUntil = -Infinity;
   #listener: RegistryListener | undefined;
 
   /** Creates an empty registry. */
@@ -91,6 +104,11 @@
     return [...this.#listed.values()];
   }
 
+  /** Lists the newest removals, which another VM may not know. */
+  listRecentTombstones(): ServerTombstone[] {
+    return [...this.#tombstones.values()].slice(-RECENT_TOMBSTONES);
+  }
+
   /** Sets the listener of changes. */
   setListener(listener: RegistryListener): void {
     this.#listener = listener;
@@ -99,16 +117,21 @@
   /** Applies an entry that another VM relayed. */
   setRelayed(listing: ServerListing, now: number): void {
     this.#setListed(listing, listing.offset, now, ServerOrigin.Hub);
-    this.#offset = Math.max(this.#offset, listing.offset);
+    this.#advance(listing.offset, now);
   }
 
   /** Applies a removal that another VM relayed. */
-  removeRelayed(tombstone: ServerTombstone): void {
-    this.#offset = Math.max(this.#offset, tombstone.offset);
-    const listing = this.#listed.get(tombstone.id);
-    if (listing === undefined || listing.offset >= tombstone.offset) return;
-    const last = isNewer(tombstone, listing.entry) ? tombstone : listing.entry;
-    this.#removeMissing(tombstone.id, last, tombstone.offset, ServerOrigin.Hub);
+  removeRelayed(tombstone: ServerTombstone, now: number): void {
+    this.#advance(tombstone.offset, now);
+    this.#mergeTombstone(tombstone, ServerOrigin.Hub);
+  }
+
+  /**
+   * Applies a removal of which a follower knows. That VM may be ahead, so the
+   * removal's offset does not tell up to where records are known.
+   */
+  removeContradicted(tombstone: ServerTombstone): void {
+    this.#mergeTombstone(tombstone, ServerOrigin.Follower);
   }
 
   /** Records that a read of the store succeeded after an outage. */
@@ -120,13 +143,22 @@
     }
   }
 
-  /** Merges a list of all servers that is complete up to `offset`. */
+  /**
+   * Merges a list of all servers that is complete up to `offset`. A list of an
+   * earlier era than the newest known one is ignored.
+   *
+   * Returns the removals that the list contradicts: its entries are older.
+   */
   replaceAll(
     listings: readonly ServerListing[],
     offset: Offset,
     now: number,
     origin: ServerOrigin.Store | ServerOrigin.HubList,
-  ): void {
+    tombstones: readonly ServerTombstone[] = [],
+  ): ServerTombstone[] {
+    if (getEndEra(offset) < getEndEra(this.#offset)) return [];
+    this.#recordEra(offset, now);
+    for (const tombstone of tombstones) this.#mergeTombstone(tombstone, origin);
     const listedIds = new Set(listings.map(({ entry }) => entry.server.id));
     for (const [id, { entry, offset: listedAt }] of [...this.#listed]) {
       if (listedIds.has(id) || listedAt > offset) continue;
@@ -135,16 +167,22 @@
           this.#handleMissing(id, offset, now);
           break;
         case ServerOrigin.HubList:
-          this.#removeMissing(id, entry, offset, origin);
+          // A hub that started in this era may not know the server yet.
+          if (now < this.#eraGraceUntil) this.#handleMissing(id, offset, now);
+          else this.#removeMissing(id, entry, offset, origin);
           break;
       }
     }
     for (const listing of listings) {
       this.#setListed(listing, offset, now, origin);
     }
-    if (offset < this.#offset) return;
+    const contradicted = listings
+      .map(({ entry }) => this.#tombstones.get(entry.server.id))
+      .filter((tombstone) => tombstone !== undefined);
+    if (offset < this.#offset) return contradicted;
     this.#offset = offset;
     this.#listener?.recordReplaced();
+    return contradicted;
   }
 
   /** Removes all state, when the store has been replaced by another one. */
@@ -166,6 +204,8 @@
 
   /** Applies one update; idempotent. */
   apply(update: ServerUpdate, now: number): void {
+    if (getEndEra(update.offset) < getEndEra(this.#offset)) return;
+    this.#recordEra(update.offset, now);
     switch (update.kind) {
       case ServerUpdateKind.Listed:
         this.#setListed(update, update.offset, now, ServerOrigin.Store);
@@ -200,9 +240,9 @@
   removeFewExpired(): void {
     const known = this.#countByService(this.#listed.keys());
     const expired = this.#countByService(this.#expired.keys());
-    for (const [id, { offset }] of [...this.#expired]) {
+    for (const [id, { cause, offset }] of [...this.#expired]) {
       const entry = this.#listed.get(id)?.entry;
-      if (entry === undefined) continue;
+      if (entry === undefined || cause === MissingCause.NewEra) continue;
       const { service } = entry.server;
       const ratio = (expired.get(service) ?? 0) / (known.get(service) ?? 1);
       if (ratio < OUTAGE_RATIO_MIN) {
@@ -236,11 +276,14 @@
     now: number,
     origin: ServerOrigin,
   ): void {
-    if (!this.#hasNewState(listing, knownUpTo)) return;
     const { configuration, logger } = this.#deps;
     const { entry, offset } = listing;
     const { id } = entry.server;
     const earlier = this.#listed.get(id);
+    if (!this.#hasNewState(listing, knownUpTo)) {
+      this.#confirmExpired(listing, earlier);
+      return;
+    }
     this.#replaceInDigest(earlier?.entry, entry);
     this.#listed.set(id, listing);
     this.#tombstones.delete(id);
@@ -270,6 +313,54 @@
     });
   }
 
+  /** Applies a removal that another VM knows, unless a newer entry is known. */
+  #mergeTombstone(tombstone: ServerTombstone, origin: ServerOrigin): void {
+    const { id, offset } = tombstone;
+    const listing = this.#listed.get(id);
+    if (listing === undefined) {
+      const known = this.#tombstones.get(id);
+      const isNew = known === undefined || isNewer(tombstone, known);
+      if (isNew) this.#addTombstone(tombstone);
+      return;
+    }
+    if (!isRemovedAfter(tombstone, listing)) return;
+    const last = isNewer(tombstone, listing.entry) ? tombstone : listing.entry;
+    this.#removeMissing(id, last, offset, origin);
+  }
+
+  #addTombstone(tombstone: ServerTombstone): void {
+    this.#tombstones.delete(tombstone.id);
+    this.#tombstones.set(tombstone.id, tombstone);
+    this.#removeOldestTombstone();
+  }
+
+  /** Ends the grace period of a server whose entry was found again. */
+  #confirmExpired(listing: ServerListing, known?: ServerListing): void {
+    const { id } = listing.entry.server;
+    const expired = this.#expired.get(id);
+    if (expired === undefined || known === undefined) return;
+    if (listing.offset <= expired.offset) return;
+    if (!isNewer(known.entry, listing.entry)) this.#expired.delete(id);
+  }
+
+  /** Records that all records up to `offset` are known. */
+  #advance(offset: Offset, now: number): void {
+    this.#recordEra(offset, now);
+    this.#offset = Math.max(this.#offset, offset);
+  }
+
+  /** Starts the grace period if `offset` is of a new era. */
+  #recordEra(offset: Offset, now: number): void {
+    const isFirst = this.#offset === -1;
+    if (isFirst || getEndEra(offset) <= getEndEra(this.#offset)) return;
+    const until = now + EXPIRY_GRACE_MS;
+    this.#eraGraceUntil = until;
+    for (const [id, expired] of this.#expired) {
+      const cause = MissingCause.NewEra;
+      this.#expired.set(id, { ...expired, cause, until });
+    }
+  }
+
   /** Whether an entry is newer than what is known of its server. */
   #hasNewState({ entry, offset }: ServerListing, knownUpTo: Offset): boolean {
     const { id } = entry.server;
@@ -292,11 +383,15 @@
     if (listing === undefined || listing.offset > offset) return;
     const { entry } = listing;
     const isActive = entry.server.phase === ServerPhase.Active;
-    if (!isActive || now >= this.#graceUntil) {
+    const until = Math.max(this.#graceUntil, this.#eraGraceUntil);
+    if (!isActive || now >= until) {
       return this.#removeMissing(id, entry, offset, ServerOrigin.Store);
     }
     if (this.#expired.has(id)) return;
-    this.#expired.set(id, { offset, until: this.#graceUntil });
+    const cause = now < this.#eraGraceUntil
+      ? MissingCause.NewEra
+      : MissingCause.Outage;
+    this.#expired.set(id, { cause, offset, until });
   }
 
   /** Removes a server and adds a tombstone with its `last` version. */
@@ -315,8 +410,7 @@
     this.#listed.delete(id);
     this.#replaceInDigest(entry, undefined);
     this.#expired.delete(id);
-    this.#tombstones.set(id, tombstone);
-    this.#removeOldestTombstone();
+    this.#addTombstone(tombstone);
     this.#deps.configuration.removeServer(id);
     this.#listener?.recordRemoved(tombstone);
     this.#deps.logger.info("a server's entry was removed", {
@@ -346,6 +440,28 @@
   }
 }
 
+/**
+ * Returns the era in which a list complete up to `offset` was read. The offset
+ * after it decides: an empty topic is complete up to the end of the last era.
+ */
+function getEndEra(offset: Offset): number {
+  return getEra(offset + 1);
+}
+
+/**
+ * Whether a removal is newer than an entry. Their positions tell that only
+ * within an era: a restored store lists again what was removed before.
+ */
+function isRemovedAfter(
+  tombstone: ServerTombstone,
+  { entry, offset }: ServerListing,
+): boolean {
+  if (getEra(tombstone.offset) < getEra(offset)) {
+    return !isNewer(entry, tombstone);
+  }
+  return offset < tombstone.offset;
+}
+
 /** Formats what must be equal on all VMs; heartbeats do not change it. */
 function formatForDigest({ server, startedAt }: ServerEntry): string {
   const { id, phase, host, port } = server;
--- a/src/services/feed/server_registry_test.ts
+++ b/src/services/feed/server_registry_test.ts
@@ -252,7 +252,10 @@
 test("a relayed removal contains the version by which late entries are rejected", () => {
   const { registry, list } = createFixture();
   registry.setRelayed(createListed(1, { sequence: 1 }), 0);
-  registry.removeRelayed({ id: "s1", offset: 30, startedAt: 1, sequence: 20 });
+  registry.removeRelayed(
+    { id: "s1", offset: 30, startedAt: 1, sequence: 20 },
+    0,
+  );
   registry.apply(createListed(31, { sequence: 19 }), 0);
   assert.deepEqual(list(), []);
   registry.apply(createListed(32, { sequence: 21 }), 0);
--- a/src/services/feed/source.ts
+++ b/src/services/feed/source.ts
@@ -12,6 +12,11 @@
   Updates = "updates",
   /** The position is below the retained range; read the newest instead. */
   OutOfRange = "forgotten",
+  /**
+   * The store was restored from an old copy and the position is of an earlier
+   * era; read the newest instead.
+   */
+  EraChanged = "era_changed",
   /** The source rejected the read or did not respond. */
   Unavailable = "unavailable",
 }
@@ -27,16 +32,35 @@
     readonly isComplete: boolean;
   }
   | { readonly kind: FeedReadKind.OutOfRange }
+  | { readonly kind: FeedReadKind.EraChanged }
   | { readonly kind: FeedReadKind.Unavailable; readonly reason: string };
 
 /** A stream of updates with positions; only the newest are retained. */
 export interface FeedSource<Update> {
   /** Reads the newest update of each object; never rejects. */
   readNewest(): Promise<FeedRead<Update>>;
-  /** Reads from a position; waits up to `waitMs` for an update. */
+  /**
+   * Reads from a position; waits up to `waitMs` for an update. Ends at once
+   * when the store has a new era, in which the position is not valid.
+   */
   readFrom(position: Offset, waitMs: number): Promise<FeedRead<Update>>;
 }
 
+/** A new era of the store, which was restored from an old copy. */
+export interface EraChange {
+  readonly earlier: number;
+  readonly era: number;
+}
+
+/** Called with each new era. */
+export type EraListener = (change: EraChange) => void;
+
+/** Reports new eras of the store. */
+export interface EraSource {
+  /** Adds a function to call as soon as any answer shows a new era. */
+  addListener(listener: EraListener): void;
+}
+
 /** Kinds of {@linkcode DocumentUpdate}. */
 export enum DocumentUpdateKind {
   Readable = "readable",
@@ -70,6 +94,8 @@
   Store = "store",
   /** A message of the hub about a single change. */
   Hub = "hub",
+  /** A message of a follower that knows of a removal. */
+  Follower = "follower",
   /** The hub's list of all servers. */
   HubList = "hub_list",
   /** An entry that was not written again in time after an outage. */
--- a/src/services/fleet/directory.ts
+++ b/src/services/fleet/directory.ts
@@ -1,9 +1,10 @@
 /** The directory of VMs: announces this VM and finds the others. */
-import type { Offset, VmName } from "../../model/mod.ts";
+import { getEra } from "../../model/mod.ts";
+import type { Incarnation, Offset, VmName } from "../../model/mod.ts";
 import { runWithTimeout } from "../clock/mod.ts";
 import type { Clock } from "../clock/mod.ts";
 import { FeedReadKind } from "../feed/source.ts";
-import type { FeedSource } from "../feed/source.ts";
+import type { FeedRead, FeedSource } from "../feed/source.ts";
 import type { Logger } from "../logging/mod.ts";
 import type { PeerTransport } from "../membership/transport.ts";
 import { DIAL_TIMEOUT_MS } from "./dialer.ts";
@@ -35,6 +36,8 @@
   withdraw(name: VmName): Promise<boolean>;
 }
 
+type ReadVms = Extract<FeedRead<VmUpdate>, { kind: FeedReadKind.Updates }>;
+
 /** Dependencies of {@linkcode DirectoryReader}. */
 export interface DirectoryReaderDependencies {
   readonly clock: Clock;
@@ -58,8 +61,15 @@
   #isRead = false;
   #isAnnounced = false;
   #isLeaving = false;
-  /** VMs whose entry was removed; they are announced again on return. */
-  readonly #removed = new Set<VmName>();
+  /**
+   * VMs whose entry was removed, with the incarnation that it had; they are
+   * announced again on return.
+   */
+  readonly #removed = new Map<VmName, Incarnation>();
+  /** Incarnations in the directory; undefined before this hub has read it. */
+  #listed: Map<VmName, Incarnation> | undefined;
+  /** Era of the store in which the directory was read last. */
+  #era = 0;
 
   /** Creates a reader that has not read the directory yet. */
   constructor(deps: DirectoryReaderDependencies) {
@@ -94,10 +104,12 @@
         : await directory.readFrom(position, DIRECTORY_WAIT_MS);
       switch (read.kind) {
         case FeedReadKind.Updates:
+          if (position === undefined) this.#replaceAll(read);
+          else this.#applyUpdates(read.updates);
           position = read.next;
-          this.#applyUpdates(read.updates);
           break;
         case FeedReadKind.OutOfRange:
+        case FeedReadKind.EraChanged:
           position = undefined;
           break;
         case FeedReadKind.Unavailable:
@@ -162,13 +174,57 @@
   /** Announces a VM again that has returned after its entry was removed. */
   async restore(vm: VmEntry): Promise<void> {
     if (!this.#removed.delete(vm.name)) return;
+    const isAnnounced = await this.restoreLost(vm);
+    if (!isAnnounced) this.#removed.set(vm.name, vm.incarnation);
+  }
+
+  /** Announces a VM again whose entry the directory does not contain. */
+  async restoreLost(vm: VmEntry): Promise<boolean> {
     const { directory, logger } = this.#deps;
     const isAnnounced = await directory.announce(vm);
-    logger.info("tried to announce a returned VM again", {
+    logger.info("tried to announce a VM without an entry again", {
       vmName: vm.name,
       isAnnounced,
     });
-    if (!isAnnounced) this.#removed.add(vm.name);
+    return isAnnounced;
+  }
+
+  /** Whether the directory contains a VM's entry, as far as this hub knows. */
+  isListed(vm: VmEntry): boolean {
+    if (this.#listed === undefined) return true;
+    return (this.#listed.get(vm.name) ?? -1) >= vm.incarnation;
+  }
+
+  /** Applies a read of all entries. */
+  #replaceAll({ updates, next }: ReadVms): void {
+    this.#listed = this.#deps.isHub() ? new Map() : undefined;
+    const isNewEra = getEra(next) > this.#era;
+    this.#era = Math.max(this.#era, getEra(next));
+    this.#applyUpdates(
+      isNewEra
+        ? updates.filter((update) => !this.#isOutdated(update))
+        : updates,
+    );
+  }
+
+  /**
+   * Whether an entry was removed before the store was restored from an older
+   * copy. The hub of its failure domain removes it again.
+   */
+  #isOutdated(update: VmUpdate): boolean {
+    switch (update.kind) {
+      case VmUpdateKind.Withdrawn:
+        return false;
+      case VmUpdateKind.Announced: {
+        const { name, incarnation, failureDomain } = update.vm;
+        const removed = this.#removed.get(name) ?? -1;
+        if (incarnation > removed) return false;
+        const { isHub, self } = this.#deps;
+        const isOwner = isHub() && failureDomain === self.failureDomain;
+        if (isOwner) void this.removeMissing(name);
+        return true;
+      }
+    }
   }
 
   #applyUpdates(updates: readonly VmUpdate[]): void {
@@ -177,6 +233,7 @@
       switch (update.kind) {
         case VmUpdateKind.Announced:
           this.#removed.delete(update.vm.name);
+          this.#listed?.set(update.vm.name, update.vm.incarnation);
           if (this.#deps.list.add(update.vm)) added.push(update.vm);
           break;
         case VmUpdateKind.Withdrawn:
@@ -189,7 +246,8 @@
 
   #applyWithdrawn(name: VmName): void {
     const { self, list } = this.#deps;
-    this.#removed.add(name);
+    this.#removed.set(name, list.find(name)?.incarnation ?? -1);
+    this.#listed?.delete(name);
     // A hub considered this VM dead; as long as it serves, it must be counted.
     if (name === self.name) {
       if (!this.#isLeaving) void this.restore(self);
--- a/src/services/fleet/exchange.ts
+++ b/src/services/fleet/exchange.ts
@@ -67,6 +67,8 @@
   recordRelayed(confirmation: Confirmation): void;
   /** Returns the version of this VM's configuration and its servers' digest. */
   getKnown(): KnownState;
+  /** Compares this VM's configuration with that of the hub on `link`. */
+  checkVersion(version: Offset, link: Link): void;
   /** Compares this VM's servers with those of the hub on `link`. */
   checkServersDigest(digest: number, link: Link): void;
 }
@@ -275,6 +277,7 @@
   createDomainReport(link: Link): DomainReport {
     return {
       kind: FleetMessageKind.DomainReport,
+      version: this.getKnown().version,
       usage: link.collectUsageChanges(this.#domainUsage.listOthers("")),
       ...link.liveVms.createUpdate(this.#domainVms),
     };
@@ -305,6 +308,7 @@
     if (confirmation === undefined) return;
     const { echo, askedAfterMs, serversAskedAfterMs, version } = confirmation;
     link.echoedAfterMs = this.#deps.clock.now() - echo;
+    this.#confirmations?.checkVersion(version, link);
     this.#confirmations?.recordRelayed({
       requestedAt: echo + askedAfterMs,
       version,
@@ -321,6 +325,7 @@
     const view = this.#domains.get(domain) ??
       { vms: new LiveVmList(), receivedAt };
     view.receivedAt = receivedAt;
+    this.#confirmations?.checkVersion(report.version, link);
     view.vms.apply(report);
     this.#domains.set(domain, view);
     this.#otherDomainsUsage.record(formatOrigin(link.vm), report.usage);
--- a/src/services/fleet/message.ts
+++ b/src/services/fleet/message.ts
@@ -165,6 +165,8 @@
 /** Report of a hub to the hub of another failure domain. */
 export interface DomainReport {
   readonly kind: FleetMessageKind.DomainReport;
+  /** Version of the sender's configuration; 0 for none. */
+  readonly version: Offset;
   readonly usage: readonly Usage[];
   /** All live VMs of the domain, in the first report of a link. */
   readonly vms: readonly LiveVm[] | undefined;
@@ -206,6 +208,8 @@
   readonly kind: FleetMessageKind.Servers;
   readonly offset: Offset;
   readonly listings: readonly ServerListing[];
+  /** Newest removals, so that no older entry adds those servers again. */
+  readonly tombstones: readonly ServerTombstone[];
 }
 
 /** A new or changed entry of a server. */
--- a/src/services/fleet/missing_vms.ts
+++ b/src/services/fleet/missing_vms.ts
@@ -12,17 +12,23 @@
   }
 
   /**
-   * Lists the VMs of `missing` that have been missing for the limit. A VM is
-   * listed again only after another such period.
+   * Lists the VMs of `missing` that have been missing for the limit, at most
+   * `maxCount` of them. A VM is listed again only after another such period.
    */
-  listOverdue(missing: readonly VmName[], now: number): VmName[] {
+  listOverdue(
+    missing: readonly VmName[],
+    now: number,
+    maxCount = Infinity,
+  ): VmName[] {
     const names = new Set(missing);
     for (const name of this.#since.keys()) {
       if (!names.has(name)) this.#since.delete(name);
     }
+    let count = 0;
     return missing.filter((name) => {
       const since = this.#since.get(name) ?? now;
-      const isOverdue = now - since >= this.#limitMs;
+      const isOverdue = now - since >= this.#limitMs && count < maxCount;
+      if (isOverdue) count += 1;
       this.#since.set(name, isOverdue ? now : since);
       return isOverdue;
     });
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -81,6 +81,11 @@
 const MISSING_LIMIT_MS = 60_000;
 /** Time after which a hub announces a linked VM without an entry, in ms. */
 const UNLISTED_LIMIT_MS = 1_000;
+/**
+ * Maximum number of VMs that a hub announces per heartbeat, 40 a second. After
+ * a restore of the store, many entries may be lost together.
+ */
+const ANNOUNCEMENTS_PER_HEARTBEAT = 10;
 
 /** Dependencies of {@linkcode Fleet}. */
 export interface FleetDependencies {
@@ -382,18 +387,33 @@
     const overdue = this.#missing
       .listOverdue(isMajority ? [] : missing.map(({ name }) => name), now);
     for (const name of overdue) void this.#directory.removeMissing(name);
-    const unlisted = this.#exchange.listVms().filter(({ name, phase }) =>
-      phase !== VmPhase.Leaving && linked.has(name) &&
-      this.#list.find(name) === undefined
-    );
-    const overdueUnlisted = new Set(
-      this.#unlisted.listOverdue(unlisted.map(({ name }) => name), now),
-    );
-    for (const { vm } of this.#links) {
-      if (overdueUnlisted.delete(vm.name)) void this.#directory.restore(vm);
+    this.#restoreUnlisted(now);
+  }
+
+  /** Announces the live VMs of this domain that the directory lacks. */
+  #restoreUnlisted(now: number): void {
+    const { self } = this.#deps;
+    const entries = new Map([self, ...this.#listFollowers()]
+      .map((vm) => [vm.name, vm]));
+    const unlisted = this.#exchange.listVms()
+      .filter(({ phase }) => phase !== VmPhase.Leaving)
+      .map(({ name }) => name)
+      .filter((name) => {
+        const vm = entries.get(name);
+        return vm !== undefined && !this.#directory.isListed(vm);
+      });
+    const overdue = this.#unlisted
+      .listOverdue(unlisted, now, ANNOUNCEMENTS_PER_HEARTBEAT);
+    for (const name of overdue) {
+      const vm = entries.get(name);
+      if (vm !== undefined) void this.#directory.restoreLost(vm);
     }
   }
 
+  #listFollowers(): VmEntry[] {
+    return this.listLinks(LinkKind.Follower).map(({ vm }) => vm);
+  }
+
   #sendHeartbeat(link: Link, isDomainDue: boolean, now: number): void {
     if (now - link.lastSeenAt > getTimeoutMs(link)) {
       this.#deps.logger.warn("a link timed out; closing it", {
--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -18,6 +18,7 @@
   Hedges = "hedges",
   LateChoices = "late_choices",
   StoreReads = "store_reads",
+  StoreEras = "store_eras",
   Refusals = "refusals",
   ServerNotices = "server_notices",
   HandlerErrors = "handler_errors",
@@ -34,6 +35,7 @@
   [Counter.LateChoices]:
     "Requests not sent to the selected server after a wait for it.",
   [Counter.StoreReads]: "Reads of the store, by stream.",
+  [Counter.StoreEras]: "New eras of the store, which was restored from a copy.",
   [Counter.ServerNotices]:
     "Servers whose responses said that they leave or want a pause, by kind.",
   [Counter.HandlerErrors]:
--- a/standins/store_standin.ts
+++ b/standins/store_standin.ts
@@ -23,9 +23,15 @@
 const STATUS_BUSY = 503;
 const STATUS_NOT_FOUND = 404;
 
+/** A record with the time at which it was appended, in monotonic ms. */
+interface StoredRecord {
+  readonly bytes: Buffer;
+  readonly at: number;
+}
+
 interface Topic {
   /** Records by offset; those before `first` are no longer available. */
-  readonly records: Buffer[];
+  readonly records: StoredRecord[];
   /** Offset of the oldest available record. */
   first: number;
   /** Newest value of each key, with its offset. */
@@ -41,6 +47,8 @@
   mode: StoreMode;
   /** Duration of each call, in milliseconds. */
   latencyMs: number;
+  /** Number of restores from a copy; in all answers unless it is 0. */
+  readonly era: number;
   /** Number of calls so far, including rejected ones. */
   readonly calls: number;
   /** Writes a value of a key, like the operator or a server does. */
@@ -49,6 +57,10 @@
   remove(topic: string, key: string): void;
   /** Removes the history of all topics; the newest values are retained. */
   removeHistory(): void;
+  /** Starts a new era, of which only answers to later calls tell. */
+  startEra(): void;
+  /** Goes back to a copy that is `ageMs` old, and starts a new era. */
+  restoreCopy(ageMs: number): void;
   /** Closes the listener and all connections. */
   close(): Promise<void>;
 }
@@ -57,6 +69,7 @@
 export async function startStoreStandin(port = 0): Promise<StoreStandin> {
   const topics = new Map<string, Topic>();
   let calls = 0;
+  let era = 0;
   const server = http.createServer((request, response) => {
     calls += 1;
     void serveCall(standin, topics, request, response);
@@ -69,6 +82,9 @@
     port: (server.address() as AddressInfo).port,
     mode: StoreMode.Up,
     latencyMs: 0,
+    get era() {
+      return era;
+    },
     get calls() {
       return calls;
     },
@@ -83,6 +99,12 @@
     removeHistory: () => {
       for (const topic of topics.values()) topic.first = topic.records.length;
     },
+    startEra: () => void (era += 1),
+    restoreCopy: (ageMs) => {
+      era += 1;
+      const copiedAt = performance.now() - ageMs;
+      for (const topic of topics.values()) restoreTopic(topic, copiedAt);
+    },
     close: () => closeServer(server),
   };
   return standin;
@@ -103,16 +125,39 @@
 
 function appendRecord(topic: Topic, key: string, value: Buffer): void {
   const keyBytes = Buffer.from(key);
-  const offset = topic.records.length;
-  topic.records.push(
-    Buffer.concat([Buffer.from([keyBytes.length]), keyBytes, value]),
+  const bytes = Buffer.concat(
+    [Buffer.from([keyBytes.length]), keyBytes, value],
   );
+  topic.records.push({ bytes, at: performance.now() });
+  setNewest(topic, bytes, topic.records.length - 1);
+  wakeReaders(topic);
+}
+
+function setNewest(topic: Topic, bytes: Buffer, offset: number): void {
+  const keyEnd = 1 + (bytes[0] ?? 0);
+  const key = bytes.subarray(1, keyEnd).toString("utf8");
+  const value = bytes.subarray(keyEnd);
   if (value.length > 0) topic.newest.set(key, { value, offset });
   else topic.newest.delete(key);
+}
+
+function wakeReaders(topic: Topic): void {
   for (const wake of topic.waiting) wake();
   topic.waiting.clear();
 }
 
+/** Removes the records that were appended after `copiedAt`. */
+function restoreTopic(topic: Topic, copiedAt: number): void {
+  const kept = topic.records.filter(({ at }) => at <= copiedAt);
+  topic.records.length = kept.length;
+  topic.first = Math.min(topic.first, kept.length);
+  topic.newest.clear();
+  for (const [offset, { bytes }] of kept.entries()) {
+    setNewest(topic, bytes, offset);
+  }
+  wakeReaders(topic);
+}
+
 async function serveCall(
   standin: StoreStandin,
   topics: Map<string, Topic>,
@@ -123,7 +168,7 @@
     case StoreMode.Unresponsive:
       return;
     case StoreMode.Busy:
-      response.writeHead(STATUS_BUSY).end();
+      startAnswer(standin, response, STATUS_BUSY).end();
       return;
     case StoreMode.Reset:
       request.socket.resetAndDestroy();
@@ -141,11 +186,11 @@
     case "/log-append":
       return serveAppend(standin, topic, Buffer.concat(chunks), response);
     case "/log-read":
-      return await serveRead(topic, url.searchParams, response);
+      return await serveRead(standin, topic, url.searchParams, response);
     case "/log-newest":
-      return serveNewest(topic, response);
+      return serveNewest(standin, topic, response);
     default:
-      response.writeHead(STATUS_NOT_FOUND).end();
+      startAnswer(standin, response, STATUS_NOT_FOUND).end();
   }
 }
 
@@ -169,35 +214,36 @@
     response.destroy();
     return;
   }
-  sendJson(response, { Offset: first, End: topic.records.length });
+  sendJson(standin, response, { Offset: first, End: topic.records.length });
 }
 
 async function serveRead(
+  standin: StoreStandin,
   topic: Topic,
   query: URLSearchParams,
   response: http.ServerResponse,
 ): Promise<void> {
   const from = Number(query.get("From"));
   const waitMs = Number(query.get("WaitMs") ?? 0);
-  if (from < topic.first) {
-    response.writeHead(STATUS_GONE);
+  if (from === topic.records.length && waitMs > 0) {
+    await waitForRecord(topic, waitMs);
+  }
+  if (from < topic.first || from > topic.records.length) {
+    startAnswer(standin, response, STATUS_GONE);
     response.end(JSON.stringify({ First: topic.first }));
     return;
   }
-  if (from >= topic.records.length && waitMs > 0) {
-    await waitForRecord(topic, waitMs);
-  }
   const parts: Buffer[] = [];
   const header = Buffer.alloc(16);
   header.writeBigUInt64BE(BigInt(topic.records.length), 0);
   header.writeBigUInt64BE(BigInt(topic.first), 8);
   parts.push(header);
-  for (const record of topic.records.slice(from)) {
+  for (const { bytes } of topic.records.slice(from)) {
     const length = Buffer.alloc(LENGTH_BYTES);
-    length.writeUInt32BE(record.length, 0);
-    parts.push(length, record);
+    length.writeUInt32BE(bytes.length, 0);
+    parts.push(length, bytes);
   }
-  response.writeHead(STATUS_OK).end(Buffer.concat(parts));
+  startAnswer(standin, response, STATUS_OK).end(Buffer.concat(parts));
 }
 
 function waitForRecord(topic: Topic, waitMs: number): Promise<void> {
@@ -212,18 +258,40 @@
   });
 }
 
-function serveNewest(topic: Topic, response: http.ServerResponse): void {
+function serveNewest(
+  standin: StoreStandin,
+  topic: Topic,
+  response: http.ServerResponse,
+): void {
   const items = [...topic.newest].map(([key, { value, offset }]) => ({
     Key: key,
     Value: value.toString("base64"),
     Offset: offset,
   }));
-  sendJson(response, { items, HasMore: false, End: topic.records.length });
+  sendJson(standin, response, {
+    items,
+    HasMore: false,
+    End: topic.records.length,
+  });
 }
 
-function sendJson(response: http.ServerResponse, value: unknown): void {
-  response.writeHead(STATUS_OK, { "content-type": "application/json" });
-  response.end(JSON.stringify(value));
+function sendJson(
+  standin: StoreStandin,
+  response: http.ServerResponse,
+  value: unknown,
+): void {
+  response.setHeader("content-type", "application/json");
+  startAnswer(standin, response, STATUS_OK).end(JSON.stringify(value));
+}
+
+/** Starts an answer; all answers contain the era. */
+function startAnswer(
+  { era }: StoreStandin,
+  response: http.ServerResponse,
+  status: number,
+): http.ServerResponse {
+  if (era > 0) response.setHeader("Store-Era", String(era));
+  return response.writeHead(status);
 }
 
 function sleep(ms: number): Promise<void> {
--- a/tests/feed_world.ts
+++ b/tests/feed_world.ts
@@ -2,7 +2,14 @@
 import { MemoryNetwork } from "../standins/memory_network.ts";
 import type { MemoryTransport } from "../standins/memory_network.ts";
 import { VirtualClock, VirtualTime } from "../standins/virtual_clock.ts";
-import { PresetName, ServerPhase, VmPhase } from "../src/model/mod.ts";
+import {
+  createPosition,
+  getEra,
+  getOffsetInEra,
+  PresetName,
+  ServerPhase,
+  VmPhase,
+} from "../src/model/mod.ts";
 import type { Preset, Team } from "../src/model/mod.ts";
 import { Configuration } from "../src/services/configuration/mod.ts";
 import { Feed } from "../src/services/feed/mod.ts";
@@ -15,6 +22,8 @@
 } from "../src/services/feed/source.ts";
 import type {
   DocumentUpdate,
+  EraListener,
+  EraSource,
   FeedRead,
   FeedSource,
   ServerEntry,
@@ -70,6 +79,26 @@
   readonly isRemoval: (update: Update) => boolean;
 }
 
+/** Era of a store, and the newest one that each VM knows. */
+export class MemoryEras {
+  era = 0;
+  readonly #known = new Map<string, number>();
+  readonly #listeners = new Map<string, EraListener>();
+
+  createSource(vm: string): EraSource {
+    return {
+      addListener: (listener) => void this.#listeners.set(vm, listener),
+    };
+  }
+
+  recordAnswer(vm: string): void {
+    const earlier = this.#known.get(vm);
+    this.#known.set(vm, this.era);
+    if (earlier === undefined || earlier === this.era) return;
+    this.#listeners.get(vm)?.({ earlier, era: this.era });
+  }
+}
+
 /** A keyed topic of the store, with faults for individual clients. */
 export class MemoryTopic<Update> {
   readonly updates: Update[] = [];
@@ -83,24 +112,40 @@
   isLost: (vm: string) => boolean = () => false;
   isDown = false;
   calls = 0;
+  /** Times of all reads of the newest updates. */
+  readonly newestReads: number[] = [];
   /** Offset of the oldest update in the history. */
   #firstOffset = 0;
   readonly #newest = new Map<string, Update>();
   readonly #waiters = new Set<() => void>();
   readonly #options: MemoryTopicOptions<Update>;
+  readonly #eras: MemoryEras;
   #isPaused = false;
   /** End of the updates that readers get while updates are paused. */
   #pausedEnd = 0;
 
-  constructor(options: MemoryTopicOptions<Update>) {
+  constructor(options: MemoryTopicOptions<Update>, eras = new MemoryEras()) {
     this.#options = options;
+    this.#eras = eras;
+  }
+
+  /** Position of the next update. */
+  get nextPosition(): number {
+    return createPosition(this.#eras.era, this.updates.length);
+  }
+
+  /** Goes back to the first `length` updates, in a new era. */
+  restoreCopy(length: number): void {
+    this.updates.length = length;
+    this.#firstOffset = Math.min(this.#firstOffset, length);
+    this.#newest.clear();
+    for (const update of this.updates) this.#setNewest(update);
+    for (const wake of this.#waiters) wake();
   }
 
   add(update: Update): void {
     this.updates.push(update);
-    const key = this.#options.getKey(update);
-    if (this.#options.isRemoval(update)) this.#newest.delete(key);
-    else this.#newest.set(key, update);
+    this.#setNewest(update);
     if (this.#isPaused) return;
     for (const wake of this.#waiters) wake();
   }
@@ -123,6 +168,12 @@
     for (const wake of this.#waiters) wake();
   }
 
+  #setNewest(update: Update): void {
+    const key = this.#options.getKey(update);
+    if (this.#options.isRemoval(update)) this.#newest.delete(key);
+    else this.#newest.set(key, update);
+  }
+
   createSource(vm: string, clock: VirtualClock): FeedSource<Update> {
     const read = async (
       createRead: () => FeedRead<Update>,
@@ -142,27 +193,36 @@
       if (this.isDown || this.rejectedClients.has(vm)) {
         return { kind: FeedReadKind.Unavailable, reason: "rejected" };
       }
+      this.#eras.recordAnswer(vm);
       return createRead();
     };
     return {
-      readNewest: () =>
-        read(
-          () => createUpdates([...this.#newest.values()], this.updates.length),
+      readNewest: () => {
+        this.newestReads.push(clock.now());
+        return read(
+          () => createUpdates([...this.#newest.values()], this.nextPosition),
           () => true,
           0,
-        ),
-      readFrom: (position, waitMs) =>
-        read(
-          () =>
-            position < this.#firstOffset
-              ? { kind: FeedReadKind.OutOfRange }
-              : createUpdates(
-                this.updates.slice(position, this.#end),
-                Math.max(position, this.#end),
-              ),
-          () => position < this.#end,
+        );
+      },
+      readFrom: (position, waitMs) => {
+        const offset = getOffsetInEra(position);
+        const isOutdated = (): boolean => getEra(position) !== this.#eras.era;
+        return read(
+          () => {
+            if (isOutdated()) return { kind: FeedReadKind.EraChanged };
+            if (offset < this.#firstOffset) {
+              return { kind: FeedReadKind.OutOfRange };
+            }
+            return createUpdates(
+              this.updates.slice(offset, this.#end),
+              Math.max(position, createPosition(this.#eras.era, this.#end)),
+            );
+          },
+          () => isOutdated() || offset < this.#end,
           waitMs,
-        ),
+        );
+      },
     };
   }
 
@@ -240,6 +300,13 @@
   revision: 0,
 };
 
+/** Number of updates of each topic in a copy of the store. */
+export interface StoreCopy {
+  readonly documents: number;
+  readonly directory: number;
+  readonly servers: number;
+}
+
 /** A log line of a VM. */
 export interface LogLine {
   readonly at: number;
@@ -262,22 +329,23 @@
       return new Uint8Array();
     },
   });
+  readonly eras = new MemoryEras();
   readonly documents = new MemoryTopic<DocumentUpdate>({
     getKey: () => "configuration",
     isRemoval: () => false,
-  });
+  }, this.eras);
   readonly directory = new MemoryTopic<VmUpdate>({
     getKey: (update) =>
       update.kind === VmUpdateKind.Announced ? update.vm.name : update.name,
     isRemoval: (update) => update.kind === VmUpdateKind.Withdrawn,
-  });
+  }, this.eras);
   readonly servers = new MemoryTopic<ServerUpdate>({
     getKey: (update) =>
       update.kind === ServerUpdateKind.Listed
         ? update.entry.server.id
         : update.id,
     isRemoval: (update) => update.kind === ServerUpdateKind.Removed,
-  });
+  }, this.eras);
   readonly vms: VirtualVm[] = [];
   /** The only team with a limit. */
   team: Team = {
@@ -290,6 +358,7 @@
   /** Log lines of all VMs, printed when a test fails. */
   readonly logLines: LogLine[] = [];
   #startCount = 0;
+  #entryCount = 0;
 
   startVm(name: string): VirtualVm {
     this.#startCount += 1;
@@ -341,6 +410,7 @@
       registry,
       documents: this.documents.createSource(name, clock),
       servers: this.servers.createSource(name, clock),
+      eras: this.eras.createSource(name),
       metrics: new Metrics(),
       logger,
     });
@@ -382,7 +452,7 @@
   publishUnreadable(): void {
     this.documents.add({
       kind: DocumentUpdateKind.Unreadable,
-      offset: this.documents.updates.length,
+      offset: this.documents.nextPosition,
       reason: "is not JSON",
     });
   }
@@ -390,7 +460,7 @@
   publish(version: number): void {
     this.documents.add({
       kind: DocumentUpdateKind.Readable,
-      offset: this.documents.updates.length,
+      offset: this.documents.nextPosition,
       document: {
         version,
         routes: [],
@@ -409,18 +479,36 @@
 
   /** Writes a server's entry, or removes it. */
   announceServer(id: string, phase: ServerPhase | undefined): void {
-    const offset = this.servers.updates.length;
+    const offset = this.servers.nextPosition;
     if (phase === undefined) {
       this.servers.add({ kind: ServerUpdateKind.Removed, offset, id });
       return;
     }
+    this.#entryCount += 1;
     const entry = createServerEntry(id, phase, {
       startedAt: 1,
-      sequence: offset,
+      sequence: this.#entryCount,
     });
     this.servers.add({ kind: ServerUpdateKind.Listed, offset, entry });
   }
 
+  /** Returns a copy of the store, for {@linkcode restoreCopy}. */
+  createCopy(): StoreCopy {
+    return {
+      documents: this.documents.updates.length,
+      directory: this.directory.updates.length,
+      servers: this.servers.updates.length,
+    };
+  }
+
+  /** Replaces the store's content by a copy, which starts a new era. */
+  restoreCopy(copy: StoreCopy): void {
+    this.eras.era += 1;
+    this.documents.restoreCopy(copy.documents);
+    this.directory.restoreCopy(copy.directory);
+    this.servers.restoreCopy(copy.servers);
+  }
+
   listHubs(): VirtualVm[] {
     return this.vms.filter((vm) => vm.fleet.role === FleetRole.Hub);
   }
