--- a/src/services/feed/server_registry.ts
+++ b/src/services/feed/server_registry.ts
@@ -281,7 +281,7 @@
     const { id } = entry.server;
     const earlier = this.#listed.get(id);
     if (!this.#hasNewState(listing, knownUpTo)) {
-      this.#confirmExpired(listing, earlier);
+      this.#restoreExpired(listing, earlier);
       return;
     }
     this.#replaceInDigest(earlier?.entry, entry);
@@ -335,7 +335,7 @@
   }
 
   /** Ends the grace period of a server whose entry was found again. */
-  #confirmExpired(listing: ServerListing, known?: ServerListing): void {
+  #restoreExpired(listing: ServerListing, known?: ServerListing): void {
     const { id } = listing.entry.server;
     const expired = this.#expired.get(id);
     if (expired === undefined || known === undefined) return;
