Bound the load messages that a hub receives as those that it sends

Each VM checked its loads each 40 ms whatever the size of its domain, and a hub answered each of them. Change: both directions keep to 300 messages a second; domains of 12 VMs or less are as before.

--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -58,8 +58,11 @@
  * servers.
  */
 const LOAD_INTERVAL_MS = 40;
-/** Maximum number of load messages per second, to bound the work of a hub. */
-const LOAD_SENDS_PER_SECOND = 400;
+/**
+ * Maximum number of load messages per second that a hub sends to its followers,
+ * and that it receives from them, to bound its work.
+ */
+const LOAD_MESSAGES_PER_SECOND = 300;
 /** Load checks per message to another domain's hub; that traffic is billed. */
 const DOMAIN_LOAD_CHECKS = 3;
 const MS_PER_SECOND = 1_000;
@@ -340,11 +343,17 @@
         const changes = this.#loads.createChanges(link);
         if (changes !== undefined) link.send(changes);
       }
-      const sendMs = this.#links.size * MS_PER_SECOND / LOAD_SENDS_PER_SECOND;
-      await clock.sleep(Math.max(LOAD_INTERVAL_MS, sendMs), signal);
+      await clock.sleep(this.#computeLoadIntervalMs(), signal);
     }
   }
 
+  /** Computes the interval between checks for changed loads, in milliseconds. */
+  #computeLoadIntervalMs(): number {
+    const domainVms = this.#list.countDomain(this.self.failureDomain);
+    const hubMs = domainVms * MS_PER_SECOND / LOAD_MESSAGES_PER_SECOND;
+    return Math.max(LOAD_INTERVAL_MS, hubMs);
+  }
+
   #listCandidates(): VmEntry[] {
     const { self, clock } = this.#deps;
     const now = clock.now();
--- a/src/services/fleet/vm_list.ts
+++ b/src/services/fleet/vm_list.ts
@@ -63,6 +63,15 @@
     return [...new Set(this.list().map((entry) => entry.failureDomain))];
   }
 
+  /** Counts the announced VMs of a failure domain, including dead ones. */
+  countDomain(domain: string): number {
+    let count = 0;
+    for (const { failureDomain } of this.list()) {
+      if (failureDomain === domain) count += 1;
+    }
+    return count;
+  }
+
   /**
    * Lists the VMs of a domain that may be tried now, the highest-ranked first.
    *
