End every wait of a request with its caller, its deadline and the VM

Cause: a wait for a turn at a server had no signal, the wait for a team's tokens ignored the caller and the deadline, and a caller that had left during that wait was not noticed, since a signal that has aborted calls no listener. Servers ran up to four requests of a VM whatever their slots, since nothing called setServerConcurrency.

Change: one RequestWait covers a request from its admission to its response. Dispatch.runOnServer drops a waiting job, TeamLimiter.acquire ends its wait and returns a late token, and does not wait for a token expected after the deadline. A wait for a connection ends with the VM too. A server runs as many requests of a VM as it has slots, at least 4 and at most the limit of connections. Gauges count connections to servers and turns at servers.

--- a/bench/virtual_load.ts
+++ b/bench/virtual_load.ts
@@ -83,7 +83,10 @@
   }
   let status = 0;
   const exchange = createExchange(head, (sent) => status = sent);
-  await fleet.find(vm, ServiceName.Forwarding).serve(plan, exchange);
+  const forwarding = fleet.find(vm, ServiceName.Forwarding);
+  const wait = forwarding.startWait(plan, exchange);
+  await forwarding.serve(plan, exchange, wait);
+  wait.close();
   if (status === 0) return CallerOutcome.Refused;
   return status < 500 ? CallerOutcome.Succeeded : CallerOutcome.ServerError;
 }
--- a/src/daemon/wiring/request_path.ts
+++ b/src/daemon/wiring/request_path.ts
@@ -12,6 +12,7 @@
 import { Dispatch } from "../../services/dispatch/mod.ts";
 import { Forwarding } from "../../services/forwarding/mod.ts";
 import { Shutdown } from "../../services/planned_stop/shutdown.ts";
+import { Gauge } from "../../services/metrics/mod.ts";
 import { Overload } from "../../services/overload/mod.ts";
 import { Selection } from "../../services/selection/mod.ts";
 import { ServerNotices } from "../../services/server_notices/mod.ts";
@@ -121,8 +122,15 @@
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.Dispatch,
-    dependencies: [],
-    create: () => new Dispatch(),
+    dependencies: [ServiceName.Metrics],
+    create: (find) => {
+      const dispatch = new Dispatch();
+      find(ServiceName.Metrics).setGauge(Gauge.ServerTurns, () => {
+        const { running, waiting } = dispatch.countServerJobs();
+        return { running, waiting };
+      });
+      return dispatch;
+    },
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.Overload,
@@ -131,9 +139,13 @@
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.UpstreamClient,
-    dependencies: [],
-    create: (_find, scope) => {
+    dependencies: [ServiceName.Metrics],
+    create: (find, scope) => {
       const client = createHttpUpstreamClient(dialect);
+      find(ServiceName.Metrics).setGauge(Gauge.ServerConnections, () => {
+        const { inUse, waiting, idle } = client.countConnections();
+        return { in_use: inUse, waiting, idle };
+      });
       scope.addStop(() => client.close());
       return client;
     },
--- a/src/protocols/http/server_agents.ts
+++ b/src/protocols/http/server_agents.ts
@@ -5,6 +5,7 @@
   MAX_CONNECTIONS_PER_SERVER,
   UPSTREAM_IDLE_MS,
 } from "../../constants.ts";
+import type { ConnectionCounts } from "../../services/forwarding/upstream.ts";
 
 /** Agents that manage the connections to one backend server. */
 export interface ServerAgents {
@@ -30,6 +31,30 @@
   };
 }
 
+/** Counts the connections of all agents. */
+export function countConnections(
+  servers: readonly ServerAgents[],
+): ConnectionCounts {
+  const agents = servers.flatMap(({ persistent, singleUse }) => [
+    persistent,
+    singleUse,
+  ]);
+  return {
+    inUse: sumLengths(agents.map(({ sockets }) => sockets)),
+    waiting: sumLengths(agents.map(({ requests }) => requests)),
+    idle: sumLengths(agents.map(({ freeSockets }) => freeSockets)),
+  };
+}
+
+/** Sums the lengths of the lists that agents keep for each address. */
+function sumLengths(
+  maps: readonly NodeJS.ReadOnlyDict<readonly unknown[]>[],
+): number {
+  return maps
+    .flatMap((lists) => Object.values(lists))
+    .reduce((sum, list) => sum + (list?.length ?? 0), 0);
+}
+
 /**
  * Agent that closes an idle connection on which data arrives. Such data is the
  * body of a response that can't have one, or an unrequested response; it would
--- a/src/protocols/http/upstream_client.ts
+++ b/src/protocols/http/upstream_client.ts
@@ -17,7 +17,7 @@
 } from "../../services/forwarding/upstream.ts";
 import type { HttpDialect } from "./dialect.ts";
 import { encodeHeaders } from "./header_fields.ts";
-import { createServerAgents } from "./server_agents.ts";
+import { countConnections, createServerAgents } from "./server_agents.ts";
 import type { ServerAgents } from "./server_agents.ts";
 import {
   createResponse,
@@ -44,6 +44,7 @@
     send: (attempt) =>
       sendAttempt(dialect, attempt, getAgents(agents, attempt)),
     probe: probeServer,
+    countConnections: () => countConnections([...agents.values()]),
     close: () => {
       for (const { persistent, singleUse } of agents.values()) {
         persistent.destroy();
@@ -127,12 +128,17 @@
   }
 
   start(): void {
-    const { signal } = this.#attempt;
+    const { signal, waitSignal } = this.#attempt;
     const cancel = (): void => this.#cancel(FailureKind.Cancelled);
-    if (signal.aborted) cancel();
+    const cancelUnsent = (): void => {
+      if (this.#step === Step.Connect) cancel();
+    };
+    if (signal.aborted || waitSignal.aborted) cancel();
     signal.addEventListener("abort", cancel, { once: true });
+    waitSignal.addEventListener("abort", cancelUnsent, { once: true });
     this.#request.once("close", () => {
       signal.removeEventListener("abort", cancel);
+      waitSignal.removeEventListener("abort", cancelUnsent);
       clearTimeout(this.#connectTimer);
       this.#setFailed(this.#getLossKind());
     });
--- a/src/protocols/http/upstream_client_test.ts
+++ b/src/protocols/http/upstream_client_test.ts
@@ -3,6 +3,7 @@
 import net from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import { test } from "node:test";
+import { MAX_CONNECTIONS_PER_SERVER } from "../../constants.ts";
 import { OutcomeKind, ServerPhase } from "../../model/mod.ts";
 import { BodyError } from "../../services/forwarding/upstream.ts";
 import type { Attempt } from "../../services/forwarding/upstream.ts";
@@ -52,6 +53,7 @@
     mayReuseConnection: false,
     isAllowed: () => true,
     signal: new AbortController().signal,
+    waitSignal: new AbortController().signal,
   };
 }
 
@@ -112,3 +114,33 @@
     assert.equal(requestCount, 0);
   });
 }
+
+for (const name of ["signal", "waitSignal"] as const) {
+  // Guards against a request that waits for a connection beyond its deadline or
+  // the stop of the VM.
+  test(`a wait for a connection ends when the ${name} aborts`, async () => {
+    const keepOpen = (): void => {};
+    await runWithServer(keepOpen, async (port) => {
+      const client = createHttpUpstreamClient(DEFAULT_DIALECT);
+      const ended = new AbortController();
+      const attempt = createAttempt(port);
+      const running = Array.from(
+        { length: MAX_CONNECTIONS_PER_SERVER },
+        () => client.send({ ...attempt, signal: ended.signal }),
+      );
+      const wait = new AbortController();
+      const waiting = client.send({ ...attempt, [name]: wait.signal });
+      assert.deepEqual(client.countConnections(), {
+        inUse: MAX_CONNECTIONS_PER_SERVER,
+        waiting: 1,
+        idle: 0,
+      });
+      wait.abort();
+      const outcome = await waiting;
+      assert.equal(outcome.kind, OutcomeKind.NotRun);
+      ended.abort();
+      await Promise.all(running);
+      client.close();
+    });
+  });
+}
--- a/src/services/caller_front/mod.ts
+++ b/src/services/caller_front/mod.ts
@@ -7,6 +7,8 @@
 import type { Admission, RequestPlan } from "../admission/mod.ts";
 import type { Clock } from "../clock/mod.ts";
 import type { Forwarding } from "../forwarding/mod.ts";
+import { createWaitingRefusal } from "../forwarding/refusals.ts";
+import type { RequestWait } from "../forwarding/request_wait.ts";
 import { formatCause } from "../logging/mod.ts";
 import type { LogFields, Logger } from "../logging/mod.ts";
 import { LimitKind } from "../quota/team_limiter.ts";
@@ -107,14 +109,31 @@
     }
   }
 
-  /** Forwards an admitted request if its team's rate and burst allow it. */
+  /** Runs an admitted request; all its waits end with it. */
   async #runPlan(exchange: CallerExchange, plan: RequestPlan): Promise<void> {
-    const { team, preset } = plan;
+    const wait = this.#deps.forwarding.startWait(plan, exchange);
+    try {
+      await this.#runLimited(exchange, plan, wait);
+    } finally {
+      wait.close();
+    }
+  }
+
+  /** Forwards a request if its team's rate and burst allow it. */
+  async #runLimited(
+    exchange: CallerExchange,
+    plan: RequestPlan,
+    wait: RequestWait,
+  ): Promise<void> {
+    const { team, preset, deadlineAt } = plan;
     if (team === undefined) {
-      await this.#forward(exchange, plan);
+      await this.#forward(exchange, plan, wait);
       return;
     }
-    const decision = await this.#deps.limiter.acquire(team, preset);
+    const decision = await this.#deps.limiter.acquire(team, preset, {
+      signal: wait.waitSignal,
+      deadlineAt,
+    });
     switch (decision.kind) {
       case LimitKind.Over:
         return await this.#refuse(
@@ -133,13 +152,19 @@
           createRefusal(RefusalKind.ShareMissing, Step.Limit),
           plan,
         );
+      case LimitKind.Cancelled:
+        return await this.#refuse(
+          exchange,
+          createWaitingRefusal(wait.signal, Step.Limit),
+          plan,
+        );
       case LimitKind.Within: {
         this.#deps.logger.info("admitted a request", {
           request: exchange.head.attempt ?? "",
           team: team.id,
           ...decision.inputs,
         });
-        const runState = await this.#forward(exchange, plan);
+        const runState = await this.#forward(exchange, plan, wait);
         if (runState === RunState.NotRun) decision.refund();
       }
     }
@@ -149,9 +174,10 @@
   async #forward(
     exchange: CallerExchange,
     plan: RequestPlan,
+    wait: RequestWait,
   ): Promise<RunState | undefined> {
     const { forwarding, metrics, clock } = this.#deps;
-    const refusal = await forwarding.serve(plan, exchange);
+    const refusal = await forwarding.serve(plan, exchange, wait);
     metrics.recordLatency(plan.route.id, clock.now() - plan.arrivedAt);
     return refusal?.run;
   }
--- a/src/services/dispatch/mod.ts
+++ b/src/services/dispatch/mod.ts
@@ -1,7 +1,10 @@
 /** Dispatch service: bounded concurrency, with fair queuing among teams. */
 import PQueue from "p-queue";
-import { QUEUE_LIMIT_PER_TEAM } from "../../constants.ts";
-import type { ServerId, ServiceId, TeamId } from "../../model/mod.ts";
+import {
+  MAX_CONNECTIONS_PER_SERVER,
+  QUEUE_LIMIT_PER_TEAM,
+} from "../../constants.ts";
+import type { Server, ServerId, ServiceId, TeamId } from "../../model/mod.ts";
 import { FairQueue } from "./fair_queue.ts";
 import type { FairOptions } from "./fair_queue.ts";
 
@@ -29,6 +32,9 @@
   readonly signal: AbortSignal;
 }
 
+/** A server and its number of slots. */
+export type ServerCapacity = Pick<Server, "id" | "slots">;
+
 /** State of one service's queue, for dumps. */
 export interface QueueReport {
   readonly service: ServiceId;
@@ -37,21 +43,40 @@
   readonly waiting: number;
 }
 
-type ServiceQueue = PQueue<FairQueue, FairOptions>;
+type FairPQueue = PQueue<FairQueue, FairOptions>;
 
-interface ServiceEntry {
-  readonly queue: ServiceQueue;
-  /** Backing queue of `queue`, for counting a team's waiting jobs. */
+interface QueueEntry {
+  readonly queue: FairPQueue;
+  /** Backing queue of `queue`, for counting and removing waiting jobs. */
   readonly fairQueue: FairQueue;
 }
 
+/** Queue of one server. */
+interface ServerEntry extends QueueEntry {
+  /** Number of jobs that run or wait. */
+  jobs: number;
+}
+
+/** Numbers of jobs at servers, for metrics. */
+export interface ServerJobCounts {
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** Team of jobs at a server, which run in the order they were added. */
+const NO_TEAM = "";
 /** Number of jobs that a new queue runs at the same time. */
 const INITIAL_CONCURRENCY = 4;
+/**
+ * Minimum number of jobs that run at a server at the same time. More than a
+ * server with few slots has, so that its own queue bridges the round trip.
+ */
+const SERVER_CONCURRENCY_MIN = 4;
 
 /** Runs jobs through one queue per service and one per backend server. */
 export class Dispatch {
-  readonly #services = new Map<ServiceId, ServiceEntry>();
-  readonly #servers = new Map<ServerId, PQueue>();
+  readonly #services = new Map<ServiceId, QueueEntry>();
+  readonly #servers = new Map<ServerId, ServerEntry>();
   #lastId = 0;
 
   /** Sets how many jobs of a service run at the same time; at least 1. */
@@ -61,18 +86,6 @@
     if (queue.concurrency !== bounded) queue.concurrency = bounded;
   }
 
-  /** Sets how many jobs run at a backend server at the same time; at least 1. */
-  setServerConcurrency(server: ServerId, concurrency: number): void {
-    const queue = this.#getServer(server);
-    const bounded = Math.max(1, Math.floor(concurrency));
-    if (queue.concurrency !== bounded) queue.concurrency = bounded;
-  }
-
-  /** Deletes the queue of a removed backend server. */
-  removeServer(server: ServerId): void {
-    this.#servers.delete(server);
-  }
-
   /**
    * Queues `job` and runs it when it is the team's turn at the service.
    *
@@ -83,11 +96,55 @@
     request: DispatchRequest,
     job: () => Promise<T>,
   ): Promise<DispatchResult<T>> {
-    const { queue, fairQueue } = this.#getService(request.service);
-    if (fairQueue.count(request.team) >= QUEUE_LIMIT_PER_TEAM) {
+    const entry = this.#getService(request.service);
+    if (entry.fairQueue.count(request.team) >= QUEUE_LIMIT_PER_TEAM) {
       return { kind: DispatchKind.QueueFull };
     }
-    if (request.signal.aborted) return { kind: DispatchKind.Cancelled };
+    return await this.#runQueued(entry, request, job);
+  }
+
+  /**
+   * Queues `job` and runs it when it is its turn at the backend server.
+   *
+   * A waiting job is dropped when `signal` aborts; a running job is not
+   * interrupted. Rejects with the error that `job` throws.
+   */
+  async runOnServer<T>(
+    server: ServerCapacity,
+    signal: AbortSignal,
+    job: () => Promise<T>,
+  ): Promise<DispatchResult<T>> {
+    const entry = this.#getServer(server.id);
+    const concurrency = computeServerConcurrency(server.slots);
+    if (entry.queue.concurrency !== concurrency) {
+      entry.queue.concurrency = concurrency;
+    }
+    entry.jobs += 1;
+    try {
+      return await this.#runQueued(entry, { team: NO_TEAM, signal }, job);
+    } finally {
+      entry.jobs -= 1;
+      if (entry.jobs === 0) this.#servers.delete(server.id);
+    }
+  }
+
+  /** Counts the jobs at all servers. */
+  countServerJobs(): ServerJobCounts {
+    let running = 0;
+    let waiting = 0;
+    for (const { queue } of this.#servers.values()) {
+      running += queue.pending;
+      waiting += queue.size;
+    }
+    return { running, waiting };
+  }
+
+  async #runQueued<T>(
+    { queue, fairQueue }: QueueEntry,
+    { team, signal }: Pick<DispatchRequest, "team" | "signal">,
+    job: () => Promise<T>,
+  ): Promise<DispatchResult<T>> {
+    if (signal.aborted) return { kind: DispatchKind.Cancelled };
     this.#lastId += 1;
     const id = String(this.#lastId);
     let cancel: () => void = () => {};
@@ -97,19 +154,14 @@
         resolve({ kind: DispatchKind.Cancelled });
       };
     });
-    request.signal.addEventListener("abort", cancel, { once: true });
+    signal.addEventListener("abort", cancel, { once: true });
     const ran = queue.add(async (): Promise<DispatchResult<T>> => {
-      request.signal.removeEventListener("abort", cancel);
+      signal.removeEventListener("abort", cancel);
       return { kind: DispatchKind.Ran, value: await job() };
-    }, { team: request.team, id });
+    }, { team, id });
     return await Promise.race([ran, cancelled]);
   }
 
-  /** Queues `job` and runs it within the backend server's concurrency limit. */
-  runOnServer<T>(server: ServerId, job: () => Promise<T>): Promise<T> {
-    return this.#getServer(server).add(job);
-  }
-
   /** Returns the state of each service's queue. */
   getReport(): QueueReport[] {
     return [...this.#services].map(([service, { queue }]) => ({
@@ -120,28 +172,42 @@
     }));
   }
 
-  #getService(service: ServiceId): ServiceEntry {
+  #getService(service: ServiceId): QueueEntry {
     const existing = this.#services.get(service);
     if (existing !== undefined) return existing;
-    const fairQueue = new FairQueue();
-    const queue: ServiceQueue = new PQueue<FairQueue, FairOptions>({
-      concurrency: INITIAL_CONCURRENCY,
-      queueClass: createQueueClass(fairQueue),
-    });
-    const entry = { queue, fairQueue };
+    const entry = createEntry();
     this.#services.set(service, entry);
     return entry;
   }
 
-  #getServer(server: ServerId): PQueue {
+  #getServer(server: ServerId): ServerEntry {
     const existing = this.#servers.get(server);
     if (existing !== undefined) return existing;
-    const queue = new PQueue({ concurrency: INITIAL_CONCURRENCY });
-    this.#servers.set(server, queue);
-    return queue;
+    const entry = { ...createEntry(), jobs: 0 };
+    this.#servers.set(server, entry);
+    return entry;
   }
 }
 
+/**
+ * Computes how many jobs run at a server at the same time. A VM with few peers
+ * can use all slots. A job beyond the limit of connections would only wait for
+ * one.
+ */
+function computeServerConcurrency(slots: number): number {
+  const wanted = Math.max(SERVER_CONCURRENCY_MIN, Math.floor(slots));
+  return Math.min(wanted, MAX_CONNECTIONS_PER_SERVER);
+}
+
+function createEntry(): QueueEntry {
+  const fairQueue = new FairQueue();
+  const queue: FairPQueue = new PQueue<FairQueue, FairOptions>({
+    concurrency: INITIAL_CONCURRENCY,
+    queueClass: createQueueClass(fairQueue),
+  });
+  return { queue, fairQueue };
+}
+
 /** Creates a class for p-queue whose constructor returns an existing queue. */
 function createQueueClass(fairQueue: FairQueue): new () => FairQueue {
   return function () {
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -11,6 +11,7 @@
 import type { Clock } from "../clock/mod.ts";
 import { AttemptVerdict } from "../detector/mod.ts";
 import type { Detector } from "../detector/mod.ts";
+import { DispatchKind } from "../dispatch/mod.ts";
 import type { Dispatch } from "../dispatch/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import { Counter } from "../metrics/mod.ts";
@@ -31,6 +32,8 @@
   readonly body: RequestBody;
   /** Aborts when the caller disconnects or the deadline passes. */
   readonly signal: AbortSignal;
+  /** Aborts with `signal`, and when this VM stops. */
+  readonly waitSignal: AbortSignal;
 }
 
 /** A server's response that may be forwarded to the caller. */
@@ -59,6 +62,8 @@
   readonly claim: ClaimedBody;
   /** Cancels the attempt. */
   readonly signal: AbortSignal;
+  /** Cancels the attempt while it was not sent. */
+  readonly waitSignal: AbortSignal;
   /** Monotonic time at which its wait for the server began. */
   readonly selectedAt: number;
 }
@@ -90,12 +95,12 @@
 
   /**
    * Sends a request to one server, unless another attempt sends its body;
-   * `signal` cancels only this attempt.
+   * `cancelled` cancels only this attempt.
    */
   async run(
     context: RequestContext,
     server: Server,
-    signal: AbortSignal,
+    cancelled: AbortSignal,
   ): Promise<AttemptResult> {
     const selectedAt = this.#deps.clock.now();
     const claim = context.body.claim();
@@ -105,17 +110,48 @@
         return createUnsentResult(server, FailureKind.BodyUnavailable);
       case BodyClaimKind.Claimed:
         try {
-          return await this.#deps.dispatch.runOnServer(
-            server.id,
-            () =>
-              this.#sendAttempt({ context, server, claim, signal, selectedAt }),
-          );
+          return await this.#runInTurn({
+            context,
+            server,
+            claim,
+            signal: AbortSignal.any([context.signal, cancelled]),
+            waitSignal: AbortSignal.any([context.waitSignal, cancelled]),
+            selectedAt,
+          });
         } finally {
           claim.release();
         }
     }
   }
 
+  /** Sends an attempt when it is its turn at the server. */
+  async #runInTurn(selected: SelectedAttempt): Promise<AttemptResult> {
+    const { server, waitSignal } = selected;
+    const result = await this.#deps.dispatch.runOnServer(
+      server,
+      waitSignal,
+      () => this.#sendAttempt(selected),
+    );
+    switch (result.kind) {
+      case DispatchKind.Ran:
+        return result.value;
+      case DispatchKind.Cancelled:
+        this.#recordEndedWait(selected);
+        return createUnsentResult(server, FailureKind.Cancelled);
+      case DispatchKind.QueueFull:
+        return createUnsentResult(server, FailureKind.QueueFull);
+    }
+  }
+
+  #recordEndedWait(selected: SelectedAttempt): void {
+    const { context, server, selectedAt } = selected;
+    this.#deps.logger.info("the wait for a server ended before its turn", {
+      request: context.plan.attempt ?? "",
+      server: server.id,
+      waitedMs: Math.round(this.#deps.clock.now() - selectedAt),
+    });
+  }
+
   async #sendAttempt(selected: SelectedAttempt): Promise<AttemptResult> {
     const { context, server, selectedAt } = selected;
     const { selection, detector, overload, clock, metrics } = this.#deps;
@@ -197,7 +233,7 @@
   }
 
   #createAttempt(selected: SelectedAttempt): Attempt {
-    const { context, server, claim, signal } = selected;
+    const { context, server, claim, signal, waitSignal } = selected;
     const { plan, body } = context;
     this.#attemptCount += 1;
     return {
@@ -214,6 +250,7 @@
       mayReuseConnection: plan.route.idempotency === Idempotency.Idempotent,
       isAllowed: () => this.#checkSend(context, server),
       signal,
+      waitSignal,
     };
   }
 }
--- a/src/services/forwarding/attempt_runner_test.ts
+++ b/src/services/forwarding/attempt_runner_test.ts
@@ -57,6 +57,7 @@
     }),
   },
   signal: new AbortController().signal,
+  waitSignal: new AbortController().signal,
 } as unknown as RequestContext;
 
 interface Fixture {
@@ -167,6 +168,25 @@
   });
 }
 
+// Guards against a request that waits for a server after its wait has ended.
+test("a request that waits for a server is dropped when its wait ends", async () => {
+  const { runner, sent } = createFixture();
+  const wait = new AbortController();
+  const { signal } = new AbortController();
+  const running = Array.from(
+    { length: SERVER_CONCURRENCY },
+    () => runner.run(CONTEXT, SERVER, signal),
+  );
+  const context = { ...CONTEXT, waitSignal: wait.signal };
+  const waiting = runner.run(context, SERVER, signal);
+  wait.abort();
+  const result = await waiting;
+  assert.equal(result.kind, OutcomeKind.NotRun);
+  for (const end of sent) end();
+  await Promise.all(running);
+  assert.equal(sent.length, SERVER_CONCURRENCY);
+});
+
 for (const [change, apply] of Object.entries(CHANGES)) {
   // Guards against sending on a connection that was opened before a change.
   test(`a request that waits for a connection is not sent once ${change}`, async () => {
--- a/src/services/forwarding/attempts.ts
+++ b/src/services/forwarding/attempts.ts
@@ -179,7 +179,7 @@
       result: this.#runner.run(
         context,
         server,
-        AbortSignal.any([context.signal, cancelled.signal]),
+        cancelled.signal,
       ),
       cancel: () => cancelled.abort(),
     };
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -14,6 +14,8 @@
 import { createWaitingRefusal } from "./refusals.ts";
 import { readRequestBody } from "./request_body.ts";
 import { Responder } from "./responder.ts";
+import { startRequestWait } from "./request_wait.ts";
+import type { RequestWait } from "./request_wait.ts";
 import { RetryDelay } from "./retry_delay.ts";
 
 /** Dependencies of {@linkcode Forwarding}. */
@@ -36,6 +38,17 @@
     this.#attempts = new Attempts(deps, this.#retryDelay);
   }
 
+  /**
+   * Starts the lifetime of an admitted request, which bounds all its waits; to
+   * be closed after its response.
+   */
+  startWait(
+    { deadlineAt }: RequestPlan,
+    { signal }: Pick<CallerExchange, "signal">,
+  ): RequestWait {
+    return startRequestWait(this.#deps, deadlineAt, signal);
+  }
+
   /**
    * Serves one admitted request; responds to the caller exactly once.
    *
@@ -45,37 +58,26 @@
   async serve(
     plan: RequestPlan,
     exchange: CallerExchange,
+    wait: RequestWait,
   ): Promise<Refusal | undefined> {
-    const controller = new AbortController();
-    const waiting = new AbortController();
-    const stopWaiting = (): void => waiting.abort();
-    const removeListener = this.#deps.shutdown.addEndListener(stopWaiting);
-    controller.signal.addEventListener("abort", stopWaiting, { once: true });
-    const abortRequest = (): void => controller.abort();
-    const remainingMs = plan.deadlineAt - this.#deps.clock.now();
-    const cancelTimer = this.#deps.clock.startTimer(remainingMs, abortRequest);
-    exchange.signal.addEventListener("abort", abortRequest, { once: true });
-    try {
-      const { signal } = controller;
-      const body = await readRequestBody(exchange.body, waiting.signal);
-      if (body === undefined) {
-        const refusal = createWaitingRefusal(signal, Step.Body);
-        return await this.#responder.refuse({ plan, exchange }, refusal);
-      }
-      return await this.#dispatchRequest(
-        { plan, exchange, body, signal },
-        waiting.signal,
-      );
-    } finally {
-      removeListener();
-      cancelTimer();
+    const { signal, waitSignal } = wait;
+    const body = await readRequestBody(exchange.body, waitSignal);
+    if (body === undefined) {
+      const refusal = createWaitingRefusal(signal, Step.Body);
+      return await this.#responder.refuse({ plan, exchange }, refusal);
     }
+    return await this.#dispatchRequest({
+      plan,
+      exchange,
+      body,
+      signal,
+      waitSignal,
+    });
   }
 
-  /** Runs a request when its turn comes, unless `waitSignal` aborts before. */
+  /** Runs a request when its turn comes, unless its wait ends before. */
   async #dispatchRequest(
     context: RequestContext,
-    waitSignal: AbortSignal,
   ): Promise<Refusal | undefined> {
     const { plan } = context;
     const { dispatch, selection } = this.#deps;
@@ -93,7 +95,7 @@
       {
         service,
         team: plan.team?.id ?? "",
-        signal: waitSignal,
+        signal: context.waitSignal,
       },
       () => this.#runAttempts(context),
     );
--- a/src/services/forwarding/refusals_test.ts
+++ b/src/services/forwarding/refusals_test.ts
@@ -138,6 +138,7 @@
         return Promise.resolve(send(attempt, plans));
       },
       probe: () => Promise.resolve(true),
+      countConnections: () => ({ inUse: 0, waiting: 0, idle: 0 }),
       close: () => {},
     },
     retryBudget: {
@@ -191,12 +192,24 @@
   return exchange as CallerExchange;
 }
 
+/** Serves a request of a caller that stays connected. */
+async function serveRequest(
+  forwarding: Forwarding,
+  plan: RequestPlan,
+  refusals: Refusal[],
+): Promise<void> {
+  const exchange = createExchange(refusals);
+  const wait = forwarding.startWait(plan, exchange);
+  await forwarding.serve(plan, exchange, wait);
+  wait.close();
+}
+
 // Guards against a refusal whose cause can't be found in the logs.
 test("a request that becomes stale before its dispatch is refused with a line", async () => {
   const { forwarding, lines, plans } = createFixture();
   plans.isAllowed = false;
   const refusals: Refusal[] = [];
-  await forwarding.serve(PLAN, createExchange(refusals));
+  await serveRequest(forwarding, PLAN, refusals);
   assert.equal(refusals[0]?.kind, RefusalKind.ConfigurationStale);
   const line = lines.find(({ message }) => message === "refused a request");
   assert.equal(line?.fields?.["request"], "r1");
@@ -218,7 +231,7 @@
   });
   notices.recordPause({ ...SERVER, id: "s2" }, 3_000);
   const refusals: Refusal[] = [];
-  await forwarding.serve(PLAN, createExchange(refusals));
+  await serveRequest(forwarding, PLAN, refusals);
   assert.equal(attempts.length, 1);
   assert.equal(refusals[0]?.kind, RefusalKind.ConfigurationStale);
   assert.equal(refusals[0]?.run, RunState.NotRun);
@@ -238,7 +251,7 @@
   });
   const refusals: Refusal[] = [];
   const route = { ...ROUTE, idempotency: Idempotency.Idempotent };
-  await forwarding.serve({ ...PLAN, route }, createExchange(refusals));
+  await serveRequest(forwarding, { ...PLAN, route }, refusals);
   assert.equal(attempts.length, 1);
   assert.equal(refusals[0]?.kind, RefusalKind.ResponseLost);
   assert.equal(refusals[0]?.run, RunState.Unknown);
@@ -251,10 +264,24 @@
   notices.recordPause({ ...SERVER, id: "s2" }, 3_000);
   const refusals: Refusal[] = [];
   for (let index = 0; index < 100; index += 1) {
-    await forwarding.serve(PLAN, createExchange(refusals));
+    await serveRequest(forwarding, PLAN, refusals);
   }
   const delays = refusals.map(({ retryAfterMs }) => retryAfterMs);
   assert.equal(delays.length, 100);
   assert.ok(Math.min(...delays) >= 2_000, "told to return before the end");
   assert.ok(Math.max(...delays) - Math.min(...delays) >= 1_000, "not spread");
 });
+
+// Guards against a request that runs although its caller left while it waited
+// for a token.
+test("a request whose caller has left reaches no server", async () => {
+  const { forwarding, attempts } = createFixture();
+  const refusals: Refusal[] = [];
+  const exchange = { ...createExchange(refusals), signal: AbortSignal.abort() };
+  const wait = forwarding.startWait(PLAN, exchange);
+  assert.ok(wait.signal.aborted && wait.waitSignal.aborted);
+  await forwarding.serve(PLAN, exchange, wait);
+  wait.close();
+  assert.equal(attempts.length, 0);
+  assert.equal(refusals[0]?.run, RunState.NotRun);
+});
--- a/src/services/forwarding/upstream.ts
+++ b/src/services/forwarding/upstream.ts
@@ -42,6 +42,8 @@
   readonly isAllowed: () => boolean;
   /** Cancels the attempt. */
   readonly signal: AbortSignal;
+  /** Cancels the attempt while it waits for its connection. */
+  readonly waitSignal: AbortSignal;
 }
 
 /** Head of a response, with methods to read or cancel the rest. */
@@ -80,12 +82,22 @@
   }
 }
 
+/** Numbers of connections to servers, for metrics. */
+export interface ConnectionCounts {
+  readonly inUse: number;
+  /** Requests that wait for a connection. */
+  readonly waiting: number;
+  readonly idle: number;
+}
+
 /** Sends attempts; never throws. */
 export interface UpstreamClient {
   /** Sends one attempt; resolves once the response head has arrived. */
   send(attempt: Attempt): Promise<AttemptOutcome<UpstreamResponse>>;
   /** Opens a connection and resolves to whether the server accepted it. */
   probe(server: Server): Promise<boolean>;
+  /** Counts the connections to all servers. */
+  countConnections(): ConnectionCounts;
   /** Closes idle connections. */
   close(): void;
 }
--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -42,6 +42,22 @@
   [Counter.Refusals]: "Requests refused without a server's response, by kind.",
 };
 
+/** Values that rise and fall; they are read when metrics are formatted. */
+export enum Gauge {
+  ServerConnections = "server_connections",
+  ServerTurns = "server_turns",
+}
+
+/** Help text of each gauge, for scrapers. */
+const GAUGE_HELP: Readonly<Record<Gauge, string>> = {
+  [Gauge.ServerConnections]:
+    "Connections to servers in use and idle, and requests waiting for one.",
+  [Gauge.ServerTurns]: "Requests running or waiting for their turn at servers.",
+};
+
+/** Reads a gauge: its value for each value of its label `state`. */
+export type GaugeReader = () => Readonly<Record<string, number>>;
+
 /** Latency of one route, in milliseconds. */
 export interface LatencyReport {
   readonly count: number;
@@ -61,6 +77,7 @@
 export class Metrics {
   readonly #counters = new Map<string, number>();
   readonly #latencies = new Map<string, Histogram>();
+  readonly #gauges = new Map<Gauge, GaugeReader>();
 
   /** Increments a counter; `label` is the value of its label `kind`, if any. */
   add(counter: Counter, label = ""): void {
@@ -68,6 +85,11 @@
     this.#counters.set(name, (this.#counters.get(name) ?? 0) + 1);
   }
 
+  /** Sets the function that reads a gauge. */
+  setGauge(gauge: Gauge, reader: GaugeReader): void {
+    this.#gauges.set(gauge, reader);
+  }
+
   /** Records the latency of a request of a route, in milliseconds. */
   recordLatency(route: string, ms: number): void {
     const histogram = this.#latencies.get(route) ?? this.#addRoute(route);
@@ -86,7 +108,7 @@
     return { counters: Object.fromEntries(this.#counters), latencyMs };
   }
 
-  /** Formats all counters and latencies in the Prometheus text format. */
+  /** Formats all counters, gauges and latencies in the Prometheus text format. */
   formatText(): string {
     const lines: string[] = [];
     for (const counter of Object.values(Counter)) {
@@ -99,6 +121,15 @@
         if (isOfCounter) lines.push(`rhubarbwall_${name} ${value}`);
       }
     }
+    for (const [gauge, reader] of this.#gauges) {
+      lines.push(
+        `# HELP rhubarbwall_${gauge} ${GAUGE_HELP[gauge]}`,
+        `# TYPE rhubarbwall_${gauge} gauge`,
+      );
+      for (const [state, value] of Object.entries(reader())) {
+        lines.push(`rhubarbwall_${gauge}{state="${state}"} ${value}`);
+      }
+    }
     lines.push(
       "# HELP rhubarbwall_latency_seconds Time from arrival to response.",
       "# TYPE rhubarbwall_latency_seconds summary",
--- a/src/services/quota/mod.ts
+++ b/src/services/quota/mod.ts
@@ -12,8 +12,8 @@
   EMPTY_BACKOFF_MAX_MS,
 } from "./cached_tokens.ts";
 import { PendingTokenRequests } from "./pending_token_requests.ts";
-import { LimitKind } from "./team_limiter.ts";
-import type { LimitDecision, TeamLimiter } from "./team_limiter.ts";
+import { acquireUntilAborted, LimitKind } from "./team_limiter.ts";
+import type { LimitDecision, TeamLimiter, TokenWait } from "./team_limiter.ts";
 import type { TeamLimits } from "./token_account.ts";
 import { QuotaRoleKind, RequesterKind } from "./token_exchange.ts";
 import type {
@@ -106,7 +106,18 @@
     exchange.setHandler(this);
   }
 
-  async acquire(team: Team, preset: Preset): Promise<LimitDecision> {
+  acquire(team: Team, preset: Preset, wait: TokenWait): Promise<LimitDecision> {
+    return acquireUntilAborted(
+      wait.signal,
+      () => this.#acquireBefore(team, preset, wait.deadlineAt),
+    );
+  }
+
+  async #acquireBefore(
+    team: Team,
+    preset: Preset,
+    deadlineAt: number,
+  ): Promise<LimitDecision> {
     const limits = resolveLimits(team, preset);
     if (limits.ratePerSecond === Infinity) {
       return { kind: LimitKind.Within, refund: () => {} };
@@ -118,7 +129,7 @@
       }
       return this.#createWithin(team.id, limits, role.kind, 1);
     }
-    return await this.#acquireByRole(team.id, limits, role);
+    return await this.#acquireByRole(team.id, limits, role, deadlineAt);
   }
 
   recordTick(): void {
@@ -212,13 +223,14 @@
     team: TeamId,
     limits: TeamLimits,
     role: QuotaRole,
+    deadlineAt: number,
   ): Promise<LimitDecision> {
     switch (role.kind) {
       case QuotaRoleKind.Standalone:
       case QuotaRoleKind.Hub:
-        return await this.#acquireLocal(team, limits, role);
+        return await this.#acquireLocal(team, limits, role, deadlineAt);
       case QuotaRoleKind.Follower:
-        return await this.#acquireFromHub(team, limits, role.hub);
+        return await this.#acquireFromHub(team, limits, role.hub, deadlineAt);
     }
   }
 
@@ -230,16 +242,19 @@
     team: TeamId,
     limits: TeamLimits,
     role: QuotaRole,
+    deadlineAt: number,
   ): Promise<LimitDecision> {
+    const { clock } = this.#deps;
     const tokens = this.#accounts.get(team, limits).level;
-    if (await this.#acquireFromAccount(team, limits, role)) {
+    if (await this.#acquireFromAccount(team, limits, role, deadlineAt)) {
       return this.#createWithin(team, limits, role.kind, tokens);
     }
-    if (isSearching(role)) {
-      await this.#deps.clock.sleep(HUB_SEARCH_WAIT_MS);
+    const canSearch = clock.now() + HUB_SEARCH_WAIT_MS < deadlineAt;
+    if (isSearching(role) && canSearch) {
+      await clock.sleep(HUB_SEARCH_WAIT_MS);
       const newRole = this.#updateQuotaRole();
       if (!isSearching(newRole)) {
-        return await this.#acquireByRole(team, limits, newRole);
+        return await this.#acquireByRole(team, limits, newRole, deadlineAt);
       }
     }
     const waitMs = this.#computeWaitMs(team, limits);
@@ -248,12 +263,13 @@
 
   /**
    * Acquires a token from this VM's account of a team; waits for one if it is
-   * expected soon.
+   * expected soon and before the deadline.
    */
   async #acquireFromAccount(
     team: TeamId,
     limits: TeamLimits,
     role: QuotaRole,
+    deadlineAt = Infinity,
   ): Promise<boolean> {
     const { clock } = this.#deps;
     const account = this.#accounts.get(team, limits);
@@ -268,9 +284,11 @@
       if (this.#accounts.get(team, limits).acquire()) return true;
     }
     const waitMs = account.computeWaitMs(limits, this.#accounts.share);
+    const sleepMs = waitMs + TOKEN_WAIT_SLACK_MS;
     if (waitMs > TOKEN_WAIT_MAX_MS) return false;
+    if (clock.now() + sleepMs >= deadlineAt) return false;
     account.addWaiter();
-    await clock.sleep(waitMs + TOKEN_WAIT_SLACK_MS);
+    await clock.sleep(sleepMs);
     this.#updateQuotaRole();
     this.#accounts.get(team, limits);
     return account.acquireAsWaiter();
@@ -281,6 +299,7 @@
     team: TeamId,
     limits: TeamLimits,
     hub: TokenPeer,
+    deadlineAt: number,
   ): Promise<LimitDecision> {
     const kind = QuotaRoleKind.Follower;
     const backoffMs = this.#cached.getBackoffMs(team);
@@ -288,7 +307,8 @@
     const grant = await this.#cached.fetch(team, hub, 1);
     if (grant === undefined) {
       this.#recordSlowHub();
-      return await this.#acquireLocal(team, limits, this.#updateQuotaRole());
+      const role = this.#updateQuotaRole();
+      return await this.#acquireLocal(team, limits, role, deadlineAt);
     }
     this.#slowHubBackoffMs = SLOW_HUB_BACKOFF_MIN_MS;
     if (this.#cached.acquire(team)) {
--- a/src/services/shares/mod.ts
+++ b/src/services/shares/mod.ts
@@ -130,20 +130,25 @@
 
   /**
    * Admits one request of a team, if necessary with tokens borrowed from a
-   * peer.
+   * peer before its deadline at the monotonic time `deadlineAt`.
    */
-  async acquire(team: Team, preset: Preset): Promise<Grant> {
+  async acquire(
+    team: Team,
+    preset: Preset,
+    deadlineAt = Infinity,
+  ): Promise<Grant> {
     const { clock } = this.#deps;
     const share = this.#getShare(team.id);
     share.demand.add(clock.now());
     const granted = this.#acquireOne(team, preset, share);
     if (granted !== undefined) return granted;
-    const endAt = clock.now() + SEARCH_LIMIT_MS;
+    const endAt = Math.min(clock.now() + SEARCH_LIMIT_MS, deadlineAt);
     share.waiting += 1;
     try {
       while (clock.now() < endAt) {
         const backoffMs = this.#getBackoffMs(team, share);
         if (backoffMs > MAX_BACKOFF_WAIT_MS) break;
+        if (clock.now() + backoffMs >= deadlineAt) break;
         if (backoffMs > 0) await clock.sleep(backoffMs);
         share.search ??= this.#runSearch(team, preset, share)
           .finally(() => share.search = undefined);
--- a/tests/faulty_responses_test.ts
+++ b/tests/faulty_responses_test.ts
@@ -46,6 +46,7 @@
     mayReuseConnection: true,
     isAllowed: () => true,
     signal: new AbortController().signal,
+    waitSignal: new AbortController().signal,
   };
 }
 
--- a/tests/odd_statuses_test.ts
+++ b/tests/odd_statuses_test.ts
@@ -78,6 +78,7 @@
     mayReuseConnection: true,
     isAllowed: () => true,
     signal: AbortSignal.timeout(TIMEOUT_MS),
+    waitSignal: new AbortController().signal,
   };
 }
 
--- a/tests/quota_scenario.ts
+++ b/tests/quota_scenario.ts
@@ -1,5 +1,8 @@
 /** Simulates requests of one team to failing VMs in virtual time. */
-import { LimitKind } from "../src/services/quota/team_limiter.ts";
+import {
+  createUnlimitedWait,
+  LimitKind,
+} from "../src/services/quota/team_limiter.ts";
 import { createSeededRandom } from "../src/services/random/mod.ts";
 import type { Random } from "../src/services/random/mod.ts";
 import { createWorld, DOMAINS, ORDINARY, SETTLE_MS } from "./feed_world.ts";
@@ -184,7 +187,9 @@
       // A frozen VM handles the requests that arrived once it resumes.
       vm.clock.runWhileRunning(() => {
         if (vm.stop.signal.aborted) return;
-        void vm.limiter.acquire(world.team, ORDINARY).then((decision) => {
+        const wait = createUnlimitedWait();
+        const acquired = vm.limiter.acquire(world.team, ORDINARY, wait);
+        void acquired.then((decision) => {
           if (decision.kind === LimitKind.Within) {
             admittedAt.push(world.time.now - startedAt);
           } else if (isWarm) refused += 1;
--- a/tests/virtual_fleet.ts
+++ b/tests/virtual_fleet.ts
@@ -282,6 +282,7 @@
             Promise.resolve(createRefusedOutcome(attempt)),
         probe: (server) =>
           Promise.resolve(this.#options.isOpen?.(server) ?? true),
+        countConnections: () => ({ inUse: 0, waiting: 0, idle: 0 }),
         close: () => {},
       },
       ...this.#options.createFakes?.(clock),
