Limit requests to cold servers with per-VM permits

Cause: every VM sent to a cold server as to any other one, so that servers with a warm-up limit crashed when a failure domain returned under load, and a server that became cold again without a new start was not noticed.

Change: services decode a warm-up limit (WarmupPerS, ColdStart). The new service warm_up gives each cold server a few owners by rendezvous hashing over the VMs in the directory; each has a token bucket for its part of the rate. Selection yields a cold server only with a permit and prefers it; an attempt acquires the permit when its turn comes and checks it again once its connection is open. A server that refused a connection or could not be reached is considered cold for a time. ServerRegistry applies and relays an entry whose cold time ends later than known. Services without the limit are handled as before.

The property test over freezes, cuts, restarts and a mistaken VM fails if each owner uses the whole rate.

--- a/bench/baseline_policies.ts
+++ b/bench/baseline_policies.ts
@@ -15,6 +15,7 @@
 import { Metrics } from "../src/services/metrics/mod.ts";
 import { Selection } from "../src/services/selection/mod.ts";
 import { ServerNotices } from "../src/services/server_notices/mod.ts";
+import { NO_WARM_UP } from "../src/services/warm_up/mod.ts";
 
 /** Consecutive errors after which a server is ejected. */
 const MAX_CONSECUTIVE_ERRORS = 5;
@@ -117,6 +118,7 @@
       configuration: new Configuration("cell", clock),
       detector,
       notices: createNotices(clock),
+      warmUp: NO_WARM_UP,
       clock,
       random: () => 0,
       loads: { setSource: () => {}, countOthers: () => 0 },
--- a/src/daemon/wiring/cell.ts
+++ b/src/daemon/wiring/cell.ts
@@ -22,6 +22,7 @@
 import { NO_LOAD_EXCHANGE } from "../../services/selection/load_exchange.ts";
 import { Shares } from "../../services/shares/mod.ts";
 import { createShareLimiter } from "../../services/shares/share_limiter.ts";
+import { NO_WARM_UP } from "../../services/warm_up/mod.ts";
 import type { DaemonSettings } from "../../settings/mod.ts";
 
 /** Adds the services of a cell. */
@@ -167,6 +168,11 @@
     dependencies: [],
     create: () => NO_LOAD_EXCHANGE,
   }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.WarmUp,
+    dependencies: [],
+    create: () => NO_WARM_UP,
+  }));
   kernel.add(createServiceDefinition({
     name: ServiceName.DetectionPolicy,
     dependencies: [],
--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -23,6 +23,7 @@
 import { FleetStop } from "../../services/planned_stop/fleet_stop.ts";
 import { Quota, resolveLimits } from "../../services/quota/mod.ts";
 import { Readiness } from "../../services/readiness/mod.ts";
+import { WarmUp } from "../../services/warm_up/mod.ts";
 import type { DaemonSettings } from "../../settings/mod.ts";
 
 /**
@@ -40,6 +41,7 @@
   addLinks(kernel);
   addFeed(kernel);
   addLimits(kernel);
+  addWarmUp(kernel);
   addLifecycle(kernel);
 }
 
@@ -262,6 +264,35 @@
   }));
 }
 
+function addWarmUp(kernel: Kernel<Services>): void {
+  kernel.add(createServiceDefinition({
+    name: ServiceName.WarmUp,
+    dependencies: [
+      ServiceName.Settings,
+      ServiceName.Clock,
+      ServiceName.Configuration,
+      ServiceName.Freshness,
+      ServiceName.Fleet,
+      ServiceName.Metrics,
+      ServiceName.Logging,
+    ],
+    create: (find, scope) => {
+      const fleet = find(ServiceName.Fleet);
+      const warmUp = new WarmUp({
+        vm: find(ServiceName.Settings).vm,
+        clock: find(ServiceName.Clock),
+        configuration: find(ServiceName.Configuration),
+        freshness: find(ServiceName.Freshness),
+        metrics: find(ServiceName.Metrics),
+        logger: find(ServiceName.Logging).createLogger("warm_up"),
+        findRoster: () => fleet.findRoster(),
+      });
+      scope.addStart(() => scope.runTask((signal) => warmUp.run(signal)));
+      return warmUp;
+    },
+  }));
+}
+
 function addLifecycle(kernel: Kernel<Services>): void {
   kernel.add(createServiceDefinition({
     name: ServiceName.Readiness,
--- a/src/daemon/wiring/request_path.ts
+++ b/src/daemon/wiring/request_path.ts
@@ -106,6 +106,7 @@
       ServiceName.Configuration,
       ServiceName.Detector,
       ServiceName.ServerNotices,
+      ServiceName.WarmUp,
       ServiceName.Random,
     ],
     create: (find) =>
@@ -116,6 +117,7 @@
         clock: find(ServiceName.Clock),
         detector: find(ServiceName.Detector),
         notices: find(ServiceName.ServerNotices),
+        warmUp: find(ServiceName.WarmUp),
         random: find(ServiceName.Random),
       }),
   }));
@@ -148,6 +150,7 @@
       ServiceName.Selection,
       ServiceName.Detector,
       ServiceName.ServerNotices,
+      ServiceName.WarmUp,
       ServiceName.Dispatch,
       ServiceName.Overload,
       ServiceName.UpstreamClient,
@@ -165,6 +168,7 @@
         selection: find(ServiceName.Selection),
         detector: find(ServiceName.Detector),
         notices: find(ServiceName.ServerNotices),
+        warmUp: find(ServiceName.WarmUp),
         dispatch: find(ServiceName.Dispatch),
         overload: find(ServiceName.Overload),
         upstream: find(ServiceName.UpstreamClient),
--- a/src/model/configuration.ts
+++ b/src/model/configuration.ts
@@ -66,11 +66,21 @@
   readonly revision: Revision;
 }
 
+/** How many requests a cold server takes. */
+export interface WarmUpLimit {
+  /** Requests per second from all VMs together, greater than 0. */
+  readonly perSecond: number;
+  /** Time after its start for which a server is cold, in milliseconds. */
+  readonly coldMs: number;
+}
+
 /** A group of backend servers that handle the same requests. */
 export interface Service {
   readonly id: ServiceId;
   /** Path of health checks; undefined when the service has none. */
   readonly healthPath?: string;
+  /** Limit of the requests to a cold server; undefined for no limit. */
+  readonly warmUp?: WarmUpLimit;
   readonly revision: Revision;
 }
 
--- a/src/services/catalog.ts
+++ b/src/services/catalog.ts
@@ -50,6 +50,7 @@
 import type { Shares } from "./shares/mod.ts";
 import type { ServerNotices } from "./server_notices/mod.ts";
 import type { Snapshots } from "./snapshots/mod.ts";
+import type { WarmUpLimiter } from "./warm_up/mod.ts";
 
 /** Names by which services find each other. */
 export enum ServiceName {
@@ -77,6 +78,7 @@
   Detector = "detector",
   Selection = "selection",
   ServerNotices = "server_notices",
+  WarmUp = "warm_up",
   Dispatch = "dispatch",
   Overload = "overload",
   UpstreamClient = "upstream_client",
@@ -139,6 +141,7 @@
   [ServiceName.Detector]: Detector;
   [ServiceName.Selection]: Selection;
   [ServiceName.ServerNotices]: ServerNotices;
+  [ServiceName.WarmUp]: WarmUpLimiter;
   [ServiceName.Dispatch]: Dispatch;
   [ServiceName.Overload]: Overload;
   [ServiceName.UpstreamClient]: UpstreamClient;
--- a/src/services/feed/server_registry.ts
+++ b/src/services/feed/server_registry.ts
@@ -23,6 +23,11 @@
  * this VM, the few servers that left meanwhile must be removed at once.
  */
 const OUTAGE_RATIO_MIN = 0.5;
+/**
+ * Time by which a server's cold time may seem to end later because an entry
+ * took longer to arrive than the earlier one, in milliseconds.
+ */
+const COLD_TOLERANCE_MS = 250;
 /** Maximum number of tombstones, by which late entries are rejected. */
 const MAX_TOMBSTONES = 10_000;
 
@@ -248,7 +253,9 @@
     const known = configuration.state.servers.get(id);
     const isSameStart = earlier?.entry.startedAt === entry.startedAt;
     if (
-      known !== undefined && isSameStart && isUnchanged(known, entry.server)
+      known !== undefined && isSameStart &&
+      isUnchanged(known, entry.server) &&
+      !isColdAgain(known, entry.server, now)
     ) {
       return;
     }
@@ -266,6 +273,7 @@
       earlier: known?.phase ?? "none",
       origin,
       address: `${entry.server.host}:${entry.server.port}`,
+      coldMs: entry.server.coldMs ?? 0,
       offset,
     });
   }
@@ -361,9 +369,21 @@
 }
 
 /**
- * Whether an entry changes nothing. Ignores the remaining cold time, which
- * decreases anyway.
+ * Whether a server's cold time ends later than by its earlier entry: it has
+ * become cold again without a new start. The entries in between repeat the
+ * same end.
  */
+function isColdAgain(
+  known: Server,
+  { coldMs }: ServerEntry["server"],
+  now: number,
+): boolean {
+  if (!coldMs) return false;
+  const knownUntil = (known.listedAt ?? -Infinity) + (known.coldMs ?? 0);
+  return now + coldMs > knownUntil + COLD_TOLERANCE_MS;
+}
+
+/** Whether an entry changes nothing, except for the remaining cold time. */
 function isUnchanged(known: Server, listed: ServerEntry["server"]): boolean {
   return known.service === listed.service && known.host === listed.host &&
     known.port === listed.port && known.phase === listed.phase &&
--- a/src/services/feed/server_registry_test.ts
+++ b/src/services/feed/server_registry_test.ts
@@ -23,6 +23,7 @@
 
 interface Fixture {
   readonly registry: ServerRegistry;
+  readonly configuration: Configuration;
   /** Lists the servers of the configuration with their phases. */
   list(): string[];
 }
@@ -32,6 +33,7 @@
   const registry = new ServerRegistry({ configuration, logger });
   return {
     registry,
+    configuration,
     list: () =>
       [...configuration.state.servers.values()]
         .map(({ id, phase }) => `${id} ${phase}`),
@@ -43,6 +45,7 @@
   readonly phase?: ServerPhase;
   readonly startedAt?: number;
   readonly id?: string;
+  readonly coldMs?: number;
 }
 
 function createEntry(options: EntryOptions): ServerEntry {
@@ -55,6 +58,7 @@
       failureDomain: "a",
       slots: 4,
       phase: options.phase ?? ServerPhase.Active,
+      coldMs: options.coldMs ?? 0,
     },
     startedAt: options.startedAt ?? 1,
     sequence: options.sequence,
@@ -258,3 +262,31 @@
   registry.apply(createListed(32, { sequence: 21 }), 0);
   assert.deepEqual(list(), ["s1 active"]);
 });
+
+/** Entries of one start: time of the read, remaining cold time, when it ends. */
+const COLD_ENTRIES: [number, number, number][] = [
+  [100, 3_000, 3_100],
+  [1_620, 1_500, 3_100],
+  [3_110, 0, 3_100],
+  [20_000, 3_000, 23_000],
+  [21_520, 1_480, 23_000],
+  [22_000, 3_000, 25_000],
+];
+
+// Guards against a server that is cold again, while it serves, and gets as many
+// requests as before; and against one whose repeated entries keep it cold.
+test("a server is cold again when its remaining cold time rises", () => {
+  const { registry, configuration } = createFixture();
+  const relayed: number[] = [];
+  registry.setListener({
+    recordSet: ({ offset }) => void relayed.push(offset),
+    recordRemoved: () => {},
+    recordReplaced: () => {},
+  });
+  for (const [sequence, [now, coldMs, until]] of COLD_ENTRIES.entries()) {
+    registry.apply(createListed(sequence, { sequence, coldMs }), now);
+    const server = configuration.state.servers.get("s1");
+    assert.equal((server?.listedAt ?? 0) + (server?.coldMs ?? 0), until);
+  }
+  assert.deepEqual(relayed, [0, 3, 5]);
+});
--- a/src/services/fleet/directory.ts
+++ b/src/services/fleet/directory.ts
@@ -56,6 +56,7 @@
 export class DirectoryReader {
   readonly #deps: DirectoryReaderDependencies;
   #isRead = false;
+  #hasFullList = false;
   #isAnnounced = false;
   #isLeaving = false;
   /** VMs whose entry was removed; they are announced again on return. */
@@ -71,6 +72,16 @@
     return this.#isRead;
   }
 
+  /** Whether all VMs of the directory are known: a read was complete. */
+  get hasFullList(): boolean {
+    return this.#hasFullList;
+  }
+
+  /** Whether this VM is removing itself from the directory. */
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
   /** Announces this VM in the directory; retries until that succeeds. */
   async runAnnouncing(signal: AbortSignal): Promise<void> {
     const { clock, directory, self, logger } = this.#deps;
@@ -96,6 +107,7 @@
         case FeedReadKind.Updates:
           position = read.next;
           this.#applyUpdates(read.updates);
+          if (read.isComplete) this.#hasFullList = true;
           break;
         case FeedReadKind.OutOfRange:
           position = undefined;
@@ -106,7 +118,8 @@
           break;
       }
       this.#isRead = true;
-      if (position === undefined || this.#deps.isHub()) continue;
+      const mustContinue = !this.#hasFullList || this.#deps.isHub();
+      if (position === undefined || mustContinue) continue;
       position = undefined;
       await this.#waitForHubRole(signal);
     }
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -28,6 +28,7 @@
 import type { LoadSource } from "./load_reports.ts";
 import { MissingVms } from "./missing_vms.ts";
 import { VmList } from "./vm_list.ts";
+import type { Roster } from "../warm_up/owners.ts";
 
 export { VmUpdateKind } from "./directory.ts";
 export type { VmDirectory, VmUpdate } from "./directory.ts";
@@ -230,6 +231,20 @@
     return this.#directory.isRead ? this.#list.size : undefined;
   }
 
+  /**
+   * Finds the VMs in the directory, including dead ones.
+   *
+   * Returns undefined until all of them are known, and once this VM leaves. VMs
+   * that start together know each other only after the discovery.
+   */
+  findRoster(): Roster | undefined {
+    const { hasFullList, isLeaving } = this.#directory;
+    const isDiscoveryOver =
+      this.#deps.clock.now() - this.#startedAt >= DISCOVERY_MS;
+    if (!hasFullList || !isDiscoveryOver || isLeaving) return undefined;
+    return { version: this.#list.version, listVms: () => this.#list.list() };
+  }
+
   /** Lists the open links of one kind. */
   listLinks(kind: LinkKind): Link[] {
     return [...this.#links].filter((link) => link.kind === kind);
--- a/src/services/fleet/vm_list.ts
+++ b/src/services/fleet/vm_list.ts
@@ -26,6 +26,12 @@
 export class VmList {
   readonly #entries = new Map<VmName, VmEntry>();
   readonly #backoffs = new Map<VmName, Backoff>();
+  #version = 0;
+
+  /** Number of changes of the entries. */
+  get version(): number {
+    return this.#version;
+  }
 
   /** Number of entries, including those of dead VMs. */
   get size(): number {
@@ -39,13 +45,14 @@
       return false;
     }
     this.#entries.set(entry.name, entry);
+    this.#version += 1;
     this.#backoffs.delete(entry.name);
     return true;
   }
 
   /** Removes a VM's entry. */
   remove(name: VmName): void {
-    this.#entries.delete(name);
+    if (this.#entries.delete(name)) this.#version += 1;
   }
 
   /** Finds a VM by name. */
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -18,6 +18,8 @@
 import type { Overload } from "../overload/mod.ts";
 import type { Selection } from "../selection/mod.ts";
 import type { ServerNotices } from "../server_notices/mod.ts";
+import { PermitKind } from "../warm_up/mod.ts";
+import type { Permit, WarmUpLimiter } from "../warm_up/mod.ts";
 import {
   readResponseBody,
   releaseResponse,
@@ -59,6 +61,7 @@
   readonly clock: Clock;
   readonly selection: Selection;
   readonly notices: ServerNotices;
+  readonly warmUp: WarmUpLimiter;
   readonly detector: Detector;
   readonly dispatch: Dispatch;
   readonly upstream: UpstreamClient;
@@ -89,7 +92,8 @@
     const selectedAt = clock.now();
     return await dispatch.runOnServer(server.id, async () => {
       // The server or the caller's key may have changed during the wait.
-      if (!this.#checkSend(context, server)) {
+      const permit = this.#acquirePermit(context, server);
+      if (permit === undefined) {
         const failure = {
           kind: FailureKind.NoServer,
           step: Step.Queue,
@@ -101,7 +105,7 @@
       const tracked = detector.recordStart(server);
       metrics.add(Counter.Attempts);
       const hadCapacity = selection.recordStart(server);
-      const attempt = this.#createAttempt(context, server, signal);
+      const attempt = this.#createAttempt(context, server, permit, signal);
       const outcome = await this.#deps.upstream.send(attempt);
       const result = outcome.kind === OutcomeKind.Responded
         ? await checkResponse(attempt, outcome.response, clock)
@@ -124,6 +128,7 @@
         overload.recordProcessingTime(service, route.id, latencyMs);
       }
       if (response) this.#recordNotices(server, response);
+      this.#recordReachability(server, result);
       detector.recordEnd(tracked, getVerdict(result));
       return result;
     });
@@ -138,6 +143,37 @@
     this.#deps.notices.recordPause(server, response.pauseMs);
   }
 
+  /** Records for the warm-up whether a server may have restarted. */
+  #recordReachability(server: Server, result: AttemptResult): void {
+    const { warmUp } = this.#deps;
+    if (isUnreached(result)) warmUp.recordUnreachable(server);
+    if (isReached(result)) warmUp.recordReached(server);
+  }
+
+  /**
+   * Acquires the permission to send a request to its selected server; undefined
+   * if it may no longer be sent there.
+   */
+  #acquirePermit(context: RequestContext, server: Server): Permit | undefined {
+    if (!this.#checkSend(context, server)) return undefined;
+    const permit = this.#deps.warmUp.acquire(server);
+    if (permit.kind !== PermitKind.Denied) return permit;
+    this.#recordUnsent(context, server, "server is cold");
+    return undefined;
+  }
+
+  /** Whether an attempt may still be sent once its connection is open. */
+  #checkAttempt(
+    context: RequestContext,
+    server: Server,
+    permit: Permit,
+  ): boolean {
+    if (!this.#checkSend(context, server)) return false;
+    if (this.#deps.warmUp.checkPermit(server, permit)) return true;
+    this.#recordUnsent(context, server, "server is cold");
+    return false;
+  }
+
   #recordSend(context: RequestContext, server: Server, waitedMs: number): void {
     this.#deps.logger.info("sending the request to a server", {
       request: context.plan.attempt ?? "",
@@ -148,25 +184,36 @@
   }
 
   /** Whether the request may still be sent to its selected server. */
-  #checkSend({ plan }: RequestContext, server: Server): boolean {
-    const { admission, logger, metrics, selection } = this.#deps;
-    const isAllowed = admission.checkPlan(plan) === undefined;
+  #checkSend(context: RequestContext, server: Server): boolean {
+    const { admission, selection } = this.#deps;
+    const isAllowed = admission.checkPlan(context.plan) === undefined;
     if (isAllowed && selection.isUsable(server)) return true;
+    const reason = isAllowed
+      ? "server is leaving, paused or removed"
+      : "request is no longer allowed";
+    this.#recordUnsent(context, server, reason);
+    return false;
+  }
+
+  #recordUnsent(
+    { plan }: RequestContext,
+    server: Server,
+    reason: string,
+  ): void {
+    const { logger, metrics } = this.#deps;
     metrics.add(Counter.LateChoices);
     logger.info("not sending the request to its selected server", {
       request: plan.attempt ?? "",
       server: server.id,
       offset: server.revision,
-      reason: isAllowed
-        ? "server is leaving, paused or removed"
-        : "request is no longer allowed",
+      reason,
     });
-    return false;
   }
 
   #createAttempt(
     context: RequestContext,
     server: Server,
+    permit: Permit,
     signal: AbortSignal,
   ): Attempt {
     const { plan, body } = context;
@@ -183,7 +230,7 @@
       body: body.read(),
       remainingMs: plan.deadlineAt - this.#deps.clock.now(),
       mayReuseConnection: plan.route.idempotency === Idempotency.Idempotent,
-      isAllowed: () => this.#checkSend(context, server),
+      isAllowed: () => this.#checkAttempt(context, server, permit),
       signal,
     };
   }
@@ -216,6 +263,20 @@
     result.accepted.response.status < SERVER_ERROR_STATUS;
 }
 
+/** Whether a server responded, if only to refuse the request. */
+function isReached(result: AttemptResult): boolean {
+  return result.kind === OutcomeKind.Responded ||
+    result.failure.kind === FailureKind.Shed;
+}
+
+/** Whether a server refused a connection or could not be reached. */
+function isUnreached(result: AttemptResult): boolean {
+  if (result.kind !== OutcomeKind.NotRun) return false;
+  const { kind } = result.failure;
+  return kind === FailureKind.ConnectionRefused ||
+    kind === FailureKind.TimedOut;
+}
+
 /** Returns the verdict on the server for the result of an attempt. */
 function getVerdict(result: AttemptResult): AttemptVerdict {
   switch (result.kind) {
--- a/src/services/forwarding/attempt_runner_test.ts
+++ b/src/services/forwarding/attempt_runner_test.ts
@@ -17,6 +17,8 @@
 import { Metrics } from "../metrics/mod.ts";
 import { Selection } from "../selection/mod.ts";
 import { ServerNotices } from "../server_notices/mod.ts";
+import { NO_WARM_UP, PermitKind } from "../warm_up/mod.ts";
+import type { WarmUpLimiter } from "../warm_up/mod.ts";
 import { AttemptRunner, checkResponse } from "./attempt_runner.ts";
 import type { AttemptDependencies, RequestContext } from "./attempt_runner.ts";
 import type { Attempt, UpstreamResponse } from "./upstream.ts";
@@ -58,6 +60,8 @@
   readonly notices: ServerNotices;
   /** Whether admitted requests may still run. */
   readonly plans: { isAllowed: boolean };
+  /** Whether the server may be sent a request with regard to its warm-up. */
+  readonly permits: { isGranted: boolean };
 }
 
 function createFixture(): Fixture {
@@ -72,6 +76,14 @@
     recordLeaving: () => {},
   } as unknown as Detector;
   const plans = { isAllowed: true };
+  const permits = { isGranted: true };
+  const warmUp: WarmUpLimiter = {
+    ...NO_WARM_UP,
+    acquire: () => ({
+      kind: permits.isGranted ? PermitKind.Unneeded : PermitKind.Denied,
+    }),
+    checkPermit: () => permits.isGranted,
+  };
   const metrics = new Metrics();
   const logger = SILENT_LOGGER;
   const notices = new ServerNotices({ clock, metrics, logger });
@@ -85,10 +97,12 @@
     clock,
     detector,
     notices,
+    warmUp,
     selection: new Selection({
       configuration,
       detector,
       notices,
+      warmUp: NO_WARM_UP,
       clock,
       random: () => 0,
       loads: { setSource: () => {}, countOthers: () => 0 },
@@ -117,7 +131,7 @@
     attemptPrefix: "test",
   } as unknown as AttemptDependencies;
   const runner = new AttemptRunner(deps);
-  return { runner, sent, attempts, configuration, notices, plans };
+  return { runner, sent, attempts, configuration, notices, plans, permits };
 }
 
 /** Changes that may happen while a request waits. */
@@ -134,6 +148,8 @@
     notices.recordPause(SERVER, 1_000),
   "its server is removed": ({ configuration }) =>
     configuration.removeServer(SERVER.id),
+  "its server has become cold": ({ permits }) =>
+    void (permits.isGranted = false),
   "its key is withdrawn": ({ plans }) => void (plans.isAllowed = false),
 };
 
--- a/src/services/forwarding/refusals_test.ts
+++ b/src/services/forwarding/refusals_test.ts
@@ -34,6 +34,7 @@
 import { createSeededRandom } from "../random/mod.ts";
 import { Selection } from "../selection/mod.ts";
 import { ServerNotices } from "../server_notices/mod.ts";
+import { NO_WARM_UP } from "../warm_up/mod.ts";
 import { Forwarding } from "./mod.ts";
 import type { ForwardingDependencies } from "./mod.ts";
 import type { Attempt, UpstreamResponse } from "./upstream.ts";
@@ -110,10 +111,12 @@
     clock,
     detector: detector as Detector,
     notices,
+    warmUp: NO_WARM_UP,
     selection: new Selection({
       configuration,
       detector: detector as Detector,
       notices,
+      warmUp: NO_WARM_UP,
       clock,
       random,
       loads: { setSource: () => {}, countOthers: () => 0 },
--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -20,6 +20,8 @@
   StoreReads = "store_reads",
   Refusals = "refusals",
   ServerNotices = "server_notices",
+  ColdServers = "cold_servers",
+  WarmUpPermits = "warm_up_permits",
   HandlerErrors = "handler_errors",
   UncaughtExceptions = "uncaught_exceptions",
 }
@@ -36,6 +38,10 @@
   [Counter.StoreReads]: "Reads of the store, by stream.",
   [Counter.ServerNotices]:
     "Servers whose responses said that they leave or want a pause, by kind.",
+  [Counter.ColdServers]:
+    "Times at which a server with a warm-up limit became cold.",
+  [Counter.WarmUpPermits]:
+    "Permits to send a request to a cold server, granted or denied.",
   [Counter.HandlerErrors]:
     "Errors of listeners while they handled input, by service.",
   [Counter.UncaughtExceptions]: "Exceptions that no code caught.",
--- a/src/services/selection/domain_preference_test.ts
+++ b/src/services/selection/domain_preference_test.ts
@@ -9,6 +9,7 @@
 import { Metrics } from "../metrics/mod.ts";
 import { createSeededRandom } from "../random/mod.ts";
 import { ServerNotices } from "../server_notices/mod.ts";
+import { NO_WARM_UP } from "../warm_up/mod.ts";
 import { FailureImpact, Selection } from "./mod.ts";
 
 const SLOTS = 2;
@@ -50,6 +51,7 @@
       metrics: new Metrics(),
       logger: SILENT_LOGGER,
     }),
+    warmUp: NO_WARM_UP,
     clock,
     random: createSeededRandom(1),
     loads: {
--- a/src/services/selection/mod.ts
+++ b/src/services/selection/mod.ts
@@ -9,6 +9,12 @@
 import { Availability } from "../server_notices/mod.ts";
 import type { ServerNotices } from "../server_notices/mod.ts";
 import type { LoadByServer, LoadExchange } from "./load_exchange.ts";
+import type { WarmUpLimiter } from "../warm_up/mod.ts";
+import {
+  countUsableSlots,
+  getColdPenalty,
+  isSendable,
+} from "./cold_penalty.ts";
 import { ServerLoad } from "./server_load.ts";
 
 /** Latency assumed for a service before the first response, in milliseconds. */
@@ -38,8 +44,6 @@
  * is processed.
  */
 const CROSS_DOMAIN_RATIO = 1;
-/** Penalty for a cold start: a new server runs at about half of its speed. */
-const COLD_START_RATIO = 0.5;
 /**
  * Number of random servers drawn from the best group and from the rest. Since
  * the loads that VMs exchange are stale, more would crowd the same servers and
@@ -49,6 +53,11 @@
 /** Difference of penalties up to which servers are in the same group. */
 const SIMILAR_PENALTY_RATIO = 0.2;
 
+/**
+ * Failure probability from which a cold server is not preferred for a request
+ * that a failure would lose.
+ */
+const RISKY_PROBABILITY_MIN = 0.1;
 /** Failure probability from which a server no longer counts as healthy. */
 const UNHEALTHY_PROBABILITY_MIN = 0.5;
 
@@ -57,6 +66,7 @@
   readonly configuration: Configuration;
   readonly detector: Detector;
   readonly notices: ServerNotices;
+  readonly warmUp: WarmUpLimiter;
   readonly clock: Clock;
   readonly random: Random;
   readonly loads: LoadExchange;
@@ -146,8 +156,16 @@
 
   /** Counts the slots of all admitted servers of a service. */
   countSlots(service: ServiceId): number {
-    return this.#listAdmitted(service, new Set())
-      .reduce((sum, server) => sum + server.slots, 0);
+    const { warmUp } = this.#deps;
+    const processingMs = this.#processingMs.get(service) ?? 0;
+    return this.#listAdmitted(service, new Set(), () => true)
+      .reduce((sum, server) =>
+        sum + countUsableSlots(
+          server.slots,
+          warmUp.getWarmth(server),
+          warmUp.getRateLimit(server),
+          processingMs,
+        ), 0);
   }
 
   /**
@@ -262,7 +280,7 @@
     const { configuration, detector } = this.#deps;
     return configuration.state.listServers(service).find((server) =>
       detector.getEjectionState(server) === EjectionState.Trial &&
-      this.#isAvailable(server)
+      this.#isAvailable(server) && this.#isWarmEnough(server)
     );
   }
 
@@ -291,14 +309,20 @@
   #listAdmitted(
     service: ServiceId,
     tried: ReadonlySet<ServerId>,
+    isAccepted = (server: Server): boolean => this.#isWarmEnough(server),
   ): Server[] {
     const { configuration, detector } = this.#deps;
     return configuration.state.listServers(service).filter((server) =>
       !tried.has(server.id) && this.#isAvailable(server) &&
-      detector.getEjectionState(server) === EjectionState.Admitted
+      detector.getEjectionState(server) === EjectionState.Admitted &&
+      isAccepted(server)
     );
   }
 
+  #isWarmEnough(server: Server): boolean {
+    return isSendable(this.#deps.warmUp.getWarmth(server));
+  }
+
   #isAvailable(server: Server): boolean {
     const availability = this.#deps.notices.getAvailability(server);
     return availability === Availability.Available;
@@ -346,13 +370,14 @@
 
   /** Returns the penalty of a server, in multiples of the typical latency. */
   #getPenalty(server: Server, impact: FailureImpact): number {
-    const { detector, failureDomain, clock } = this.#deps;
-    const coldUntil = (server.listedAt ?? -Infinity) + (server.coldMs ?? 0);
+    const { detector, failureDomain, warmUp } = this.#deps;
     const crossDomain = server.failureDomain === failureDomain
       ? 0
       : CROSS_DOMAIN_RATIO;
-    const coldStart = clock.now() < coldUntil ? COLD_START_RATIO : 0;
     const failureProbability = detector.getFailureProbability(server);
+    const isRisky = impact !== FailureImpact.Attempt &&
+      failureProbability >= RISKY_PROBABILITY_MIN;
+    const coldStart = getColdPenalty(warmUp.getWarmth(server), isRisky);
     const odds = failureProbability / (1 - failureProbability);
     return odds * getFailureRatio(impact) + crossDomain + coldStart;
   }
--- a/src/services/selection/selection_test.ts
+++ b/src/services/selection/selection_test.ts
@@ -13,6 +13,7 @@
 import { createSeededRandom } from "../random/mod.ts";
 import type { Random } from "../random/mod.ts";
 import { ServerNotices } from "../server_notices/mod.ts";
+import { NO_WARM_UP } from "../warm_up/mod.ts";
 import type { LoadByServer } from "./load_exchange.ts";
 import { FailureImpact, Selection } from "./mod.ts";
 
@@ -96,6 +97,7 @@
       configuration,
       detector: createDetector(),
       notices,
+      warmUp: NO_WARM_UP,
       clock,
       random,
       failureDomain: "a",
