Let followers know of cold servers and of VMs that were removed

Cause: a follower that reconnected with the same servers as its hub was not told that one had become cold again, since the digest does not show it. Only hubs removed VMs from their lists; followers kept dead VMs as owners of cold servers for ever, and disagreed with VMs that started later.

Change: a hub sends cold servers to each new follower, with the remaining time, and tells its followers which VMs the directory no longer contains.

--- a/src/protocols/fleet/message_codec.ts
+++ b/src/protocols/fleet/message_codec.ts
@@ -136,6 +136,7 @@
   z.object({
     kind: z.literal(FleetMessageKind.VmsKnown),
     vms: z.array(vmEntrySchema),
+    removed: z.array(name).optional(),
   }),
   z.object({
     kind: z.literal(FleetMessageKind.Evidence),
--- a/src/services/feed/relay.ts
+++ b/src/services/feed/relay.ts
@@ -15,6 +15,7 @@
 import type { ConfigurationDocument } from "../../model/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import type { Random } from "../random/mod.ts";
+import { listCold } from "./cold_servers.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 import { ServerOrigin } from "./source.ts";
 
@@ -193,11 +194,25 @@
     if (document !== undefined && document.version !== version) {
       link.send({ kind: FleetMessageKind.Document, document });
     }
-    if (serversDigest === this.getKnown().serversDigest) return;
+    if (serversDigest === this.getKnown().serversDigest) {
+      return this.#sendCold(link);
+    }
     const message = this.#createServersMessage();
     if (message !== undefined) link.send(message);
   }
 
+  /**
+   * Sends a follower the cold servers. The digest does not contain whether a
+   * server is cold, and the follower may have missed that one is cold again.
+   */
+  #sendCold(link: Link): void {
+    const { configuration, registry } = this.#deps;
+    const { servers } = configuration.state;
+    for (const listing of listCold(registry.list(), servers, this.#now())) {
+      link.send({ kind: FleetMessageKind.ServerSet, listing });
+    }
+  }
+
   #createServersMessage(): ServersRelay | undefined {
     const { registry } = this.#deps;
     if (registry.offset < 0) return undefined;
--- a/src/services/feed/server_registry.ts
+++ b/src/services/feed/server_registry.ts
@@ -4,6 +4,7 @@
 import type { Configuration } from "../configuration/mod.ts";
 import { computeHash } from "../hashing/mod.ts";
 import type { Logger } from "../logging/mod.ts";
+import { isColdAgain } from "./cold_servers.ts";
 import { ServerOrigin, ServerUpdateKind } from "./source.ts";
 import type {
   ServerEntry,
@@ -23,11 +24,6 @@
  * this VM, the few servers that left meanwhile must be removed at once.
  */
 const OUTAGE_RATIO_MIN = 0.5;
-/**
- * Time by which a server's cold time may seem to end later because an entry
- * took longer to arrive than the earlier one, in milliseconds.
- */
-const COLD_TOLERANCE_MS = 250;
 /** Maximum number of tombstones, by which late entries are rejected. */
 const MAX_TOMBSTONES = 10_000;
 
@@ -368,21 +364,6 @@
   return entry.sequence > earlier.sequence;
 }
 
-/**
- * Whether a server's cold time ends later than by its earlier entry: it has
- * become cold again without a new start. The entries in between repeat the
- * same end.
- */
-function isColdAgain(
-  known: Server,
-  { coldMs }: ServerEntry["server"],
-  now: number,
-): boolean {
-  if (!coldMs) return false;
-  const knownUntil = (known.listedAt ?? -Infinity) + (known.coldMs ?? 0);
-  return now + coldMs > knownUntil + COLD_TOLERANCE_MS;
-}
-
 /** Whether an entry changes nothing, except for the remaining cold time. */
 function isUnchanged(known: Server, listed: ServerEntry["server"]): boolean {
   return known.service === listed.service && known.host === listed.host &&
--- a/src/services/fleet/directory.ts
+++ b/src/services/fleet/directory.ts
@@ -50,6 +50,8 @@
   readonly createHello: () => FleetMessage;
   /** Called after VMs were added to the list. */
   readonly recordAdded: (added: readonly VmEntry[]) => void;
+  /** Called after a VM was removed from the list. */
+  readonly recordRemoved: (name: VmName) => void;
 }
 
 /** Updates the list of VMs from the directory. */
@@ -209,5 +211,6 @@
       return;
     }
     list.remove(name);
+    this.#deps.recordRemoved(name);
   }
 }
--- a/src/services/fleet/message.ts
+++ b/src/services/fleet/message.ts
@@ -186,6 +186,8 @@
 export interface VmsKnown {
   readonly kind: FleetMessageKind.VmsKnown;
   readonly vms: readonly VmEntry[];
+  /** VMs that were removed from the directory; undefined for none. */
+  readonly removed?: readonly VmName[] | undefined;
 }
 
 /** A VM's evidence about backend servers, relayed to all VMs. */
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -1,5 +1,6 @@
 /** Fleet service: links between VMs, and the hub of each failure domain. */
 import { VmPhase } from "../../model/mod.ts";
+import type { VmName } from "../../model/mod.ts";
 import { runWithTimeout, TIMED_OUT } from "../clock/mod.ts";
 import type { Clock } from "../clock/mod.ts";
 import { formatCause } from "../logging/mod.ts";
@@ -23,7 +24,13 @@
   resolveAcceptedKind,
 } from "./link.ts";
 import { FleetMessageKind, FleetRole } from "./message.ts";
-import type { FleetMessage, LiveVm, UsageKind, VmEntry } from "./message.ts";
+import type {
+  FleetMessage,
+  LiveVm,
+  UsageKind,
+  VmEntry,
+  VmsKnown,
+} from "./message.ts";
 import { LoadReports } from "./load_reports.ts";
 import type { LoadSource } from "./load_reports.ts";
 import { MissingVms } from "./missing_vms.ts";
@@ -144,6 +151,7 @@
         this.#sendVmsKnown(added);
         this.#hubChecks.checkNow();
       },
+      recordRemoved: (name) => this.#sendVmsKnown([], [name]),
     });
     this.#dialer = new Dialer({ ...deps, list, createHello });
     this.#exchange = new StatusExchange({ ...deps, links: this.#links, isHub });
@@ -572,8 +580,7 @@
       case FleetMessageKind.Load:
         return this.#loads.applyChanges(message, link);
       case FleetMessageKind.VmsKnown:
-        for (const vm of message.vms) this.#list.add(vm);
-        return;
+        return this.#applyVmsKnown(message);
       case FleetMessageKind.Evidence:
         this.#forwardMessage(message, link);
         handler?.(message, link);
@@ -615,11 +622,25 @@
     if (needsHub && !isHubRole(role)) link.close();
   }
 
-  /** Tells the followers about new VMs; each was sent all others at first. */
-  #sendVmsKnown(added: readonly VmEntry[]): void {
+  #applyVmsKnown({ vms, removed }: VmsKnown): void {
+    for (const vm of vms) this.#list.add(vm);
+    for (const name of removed ?? []) {
+      if (name !== this.self.name) this.#list.remove(name);
+    }
+  }
+
+  /**
+   * Tells the followers about new VMs and about those that were removed from
+   * the directory; each was sent all others at first.
+   */
+  #sendVmsKnown(
+    added: readonly VmEntry[],
+    removed: readonly VmName[] = [],
+  ): void {
     this.#sendTo(LinkKind.Follower, {
       kind: FleetMessageKind.VmsKnown,
       vms: added,
+      removed,
     });
   }
 
--- a/src/services/warm_up/mod.ts
+++ b/src/services/warm_up/mod.ts
@@ -15,6 +15,7 @@
 } from "../../model/mod.ts";
 import type { Clock } from "../clock/mod.ts";
 import type { Configuration } from "../configuration/mod.ts";
+import { getColdUntil } from "../feed/cold_servers.ts";
 import type { FreshnessSource } from "../freshness/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import { Counter } from "../metrics/mod.ts";
@@ -149,7 +150,7 @@
     const now = this.#deps.clock.now();
     const limit = this.#findLimit(server.service);
     if (limit === undefined) {
-      return now < getEntryColdUntil(server) ? Warmth.Slow : Warmth.Warm;
+      return now < getColdUntil(server) ? Warmth.Slow : Warmth.Warm;
     }
     if (!this.#isCold(server, now)) return Warmth.Warm;
     const { bucket, share } = this.#getColdServer(server, limit);
@@ -217,7 +218,7 @@
   }
 
   #isCold(server: Server, now: number): boolean {
-    return now < getEntryColdUntil(server) ||
+    return now < getColdUntil(server) ||
       now < this.#restarts.getColdUntil(server);
   }
 
@@ -254,7 +255,7 @@
   #recordCold(server: Server, share: OwnerShare | undefined): void {
     const { clock, logger, metrics } = this.#deps;
     const now = clock.now();
-    const entryMs = Math.max(0, getEntryColdUntil(server) - now);
+    const entryMs = Math.max(0, getColdUntil(server) - now);
     metrics.add(Counter.ColdServers);
     logger.info("a server is cold; requests to it are limited", {
       server: server.id,
@@ -290,8 +291,3 @@
     }
   }
 }
-
-/** Returns the monotonic time until which a server is cold by its entry. */
-function getEntryColdUntil({ listedAt, coldMs }: Server): number {
-  return (listedAt ?? -Infinity) + (coldMs ?? 0);
-}
