Test what follows an unreachable server and what ends a permit

Cause: permits and assumed restarts were tested only as part of a fleet, and a VM counted a cold server's permits from its first request instead of from when it knew of the server.

Change: the bucket starts when the VM learned that the server is cold, or at the end of a pause after that. Entries as new as a failure supersede it. Only owners log a cold server above the debug level. The simulated fleet moves to standins/.

--- a/src/services/warm_up/mod.ts
+++ b/src/services/warm_up/mod.ts
@@ -128,6 +128,8 @@
   readonly #cold = new Map<ServerId, ColdServer>();
   readonly #restarts = new Restarts();
   #checkedAt: number;
+  /** Time of the end of the newest pause of the process, in milliseconds. */
+  #resumedAt = -Infinity;
 
   /** Creates the service without cold servers. */
   constructor(deps: WarmUpDependencies) {
@@ -232,7 +234,7 @@
     const { vm } = this.#deps;
     const share = roster &&
       findShare(vm, server, limit.perSecond, roster.listVms());
-    const bucket = known?.bucket ?? this.#createBucket(share);
+    const bucket = known?.bucket ?? this.#createBucket(server, share);
     const created = { bucket, version, share };
     this.#cold.set(server.id, created);
     if (known === undefined) this.#recordCold(server, share);
@@ -245,11 +247,14 @@
     return ageMs < CONTACT_LIMIT_MS ? findRoster() : undefined;
   }
 
-  #createBucket(share: OwnerShare | undefined): PermitBucket {
+  /** Creates the bucket of a server, from when this VM knew that it is cold. */
+  #createBucket(server: Server, share: OwnerShare | undefined): PermitBucket {
+    const now = this.#deps.clock.now();
+    const knownAt = now < getColdUntil(server) ? server.listedAt ?? now : now;
     const tokens = share === undefined
       ? 0
       : INITIAL_SHARE * share.rank / share.owners;
-    return new PermitBucket(tokens, this.#deps.clock.now());
+    return new PermitBucket(tokens, Math.max(knownAt, this.#resumedAt));
   }
 
   #recordCold(server: Server, share: OwnerShare | undefined): void {
@@ -257,7 +262,9 @@
     const now = clock.now();
     const entryMs = Math.max(0, getColdUntil(server) - now);
     metrics.add(Counter.ColdServers);
-    logger.info("a server is cold; requests to it are limited", {
+    // Owners alone log it: all VMs know of it, and a whole domain may be cold.
+    const write = share === undefined ? logger.debug : logger.info;
+    write("a server is cold; requests to it are limited", {
       server: server.id,
       service: server.service,
       reason: entryMs > 0 ? "its entry says so" : "it could not be reached",
@@ -275,6 +282,7 @@
     const pausedMs = now - this.#checkedAt;
     this.#checkedAt = now;
     if (pausedMs <= PAUSE_THRESHOLD_MS) return;
+    this.#resumedAt = now;
     for (const { bucket } of this.#cold.values()) bucket.removeAll(now);
     this.#deps.logger.info("paused; removed the permits for cold servers", {
       pausedMs: Math.round(pausedMs),
--- a/src/services/warm_up/restarts.ts
+++ b/src/services/warm_up/restarts.ts
@@ -62,7 +62,7 @@
   getColdUntil(server: Server): number {
     const mark = this.#marks.get(server.id);
     if (mark === undefined) return -Infinity;
-    const isSuperseded = (server.listedAt ?? -Infinity) > mark.failedAt;
+    const isSuperseded = (server.listedAt ?? -Infinity) >= mark.failedAt;
     return isSuperseded ? -Infinity : mark.until;
   }
 
--- a/src/services/warm_up/warm_up_test.ts
+++ b/src/services/warm_up/warm_up_test.ts
@@ -1,8 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { WarmUpFleet } from "../../../tests/warm_up_fleet.ts";
-import type { WarmUpVm } from "../../../tests/warm_up_fleet.ts";
+import { WarmUpFleet } from "../../../standins/warm_up_fleet.ts";
+import type { WarmUpVm } from "../../../standins/warm_up_fleet.ts";
+import type { Server } from "../../model/mod.ts";
+import { PermitKind, Warmth } from "./mod.ts";
 
 /** Limit of the users' platform, and what it tolerates in a second. */
 const LIMIT = { perSecond: 3.8, coldMs: 3_000 };
@@ -149,3 +151,75 @@
     { seed: 1, numRuns: 30 },
   );
 });
+
+/** Creates two VMs and a warm server; both own it while it is cold. */
+async function createPair(): Promise<{ fleet: WarmUpFleet; vm: WarmUpVm }> {
+  const fleet = new WarmUpFleet({ b: 2 }, LIMIT);
+  fleet.setServers("b", 0, 10, 0);
+  await fleet.time.advance(SETTLE_MS);
+  return { fleet, vm: fleet.vms[0] as WarmUpVm };
+}
+
+function getServer(vm: WarmUpVm, id = SERVER): Server {
+  return vm.configuration.state.servers.get(id) as Server;
+}
+
+/** What follows a refused connection, and how long the server is cold then. */
+const AFTER_REFUSAL: [string, (vm: WarmUpVm) => void, number][] = [
+  ["it is not reached again", () => {}, 2 * LIMIT.coldMs],
+  [
+    "it is reached",
+    (vm) => vm.warmUp.recordReached(getServer(vm)),
+    LIMIT.coldMs,
+  ],
+  ["its new entry says that it is warm", (vm) => {
+    const listedAt = vm.clock.now();
+    vm.configuration.setServer({ ...getServer(vm), listedAt, coldMs: 0 });
+  }, 0],
+  ["most servers are unreachable", (vm) => {
+    for (let index = 0; index < 8; index += 1) {
+      vm.warmUp.recordUnreachable(getServer(vm, `server-b${index}`));
+    }
+  }, 0],
+];
+
+for (const [name, apply, coldMs] of AFTER_REFUSAL) {
+  // Guards against full load on a server that restarted before its entry
+  // arrived, and against a VM whose own link fails and that then serves nothing.
+  test(`a server that refused a connection is cold for ${coldMs} ms if ${name}`, async () => {
+    const { fleet, vm } = await createPair();
+    vm.warmUp.recordUnreachable(getServer(vm));
+    apply(vm);
+    const isCold = (): boolean =>
+      vm.warmUp.getWarmth(getServer(vm)) !== Warmth.Warm;
+    if (coldMs > 0) await fleet.time.advance(coldMs - 1);
+    assert.equal(isCold(), coldMs > 0);
+    await fleet.time.advance(1);
+    assert.equal(isCold(), false);
+  });
+}
+
+/** What ends a permit, or keeps a VM from getting one. */
+const LAPSES: Record<string, (fleet: WarmUpFleet, vm: WarmUpVm) => void> = {
+  "the permit is used late": () => {},
+  "the VM was paused": ({ time }, { clock }) => {
+    clock.setPaused();
+    time.startTimer(1_990, () => clock.setRunning());
+  },
+  "the VM was not confirmed for long": ({ time }, vm) =>
+    void (vm.cutAt = time.now - 40_000),
+};
+
+for (const [name, apply] of Object.entries(LAPSES)) {
+  // Guards against permits of different times that are used together.
+  test(`a request to a cold server is not sent if ${name}`, async () => {
+    const { fleet, vm } = await createPair();
+    fleet.setServers("b", 0, 1, 60_000);
+    await fleet.time.advance(SETTLE_MS);
+    const permit = vm.warmUp.acquire(getServer(vm));
+    assert.equal(permit.kind, PermitKind.Granted);
+    apply(fleet, vm);
+    await fleet.time.advance(name.includes("late") ? 200 : 2_000);
+    assert.equal(vm.warmUp.checkPermit(getServer(vm), permit), false);
+  });
+}
--- a/tests/warm_up_fleet.ts
+++ b/standins/warm_up_fleet.ts
@@ -11,9 +11,9 @@
 import { ServerNotices } from "../src/services/server_notices/mod.ts";
 import { PermitKind, WarmUp } from "../src/services/warm_up/mod.ts";
 import type { RosterVm } from "../src/services/warm_up/mod.ts";
-import { SILENT_LOGGER } from "../standins/silent_logger.ts";
-import { SlottedServer } from "../standins/slotted_server.ts";
-import { VirtualClock, VirtualTime } from "../standins/virtual_clock.ts";
+import { SILENT_LOGGER } from "./silent_logger.ts";
+import { SlottedServer } from "./slotted_server.ts";
+import { VirtualClock, VirtualTime } from "./virtual_clock.ts";
 
 const SERVICE = "rota";
 const SLOTS = 2;
