Let a cold server stand-in crash at too many requests in the soak

Cause: no run with processes showed whether VMs keep to the warm-up limit.

Change: a server stand-in that returns in the soak is cold for 3 s, with its remaining cold time in its entries, and breaks all its connections when it gets more than 13.7 requests in a second meanwhile; that is a violation.

Servers that are cold twice in virtual time stay within the bound.

--- a/scripts/platform_fleet.ts
+++ b/scripts/platform_fleet.ts
@@ -37,6 +37,15 @@
   readonly burst?: number;
 }
 
+/** Requests to a server that is cold after its return. */
+export interface WarmUpConfig {
+  /** Requests per second that the configuration allows. */
+  readonly perSecond: number;
+  /** Requests in any second above which a cold server crashes. */
+  readonly maxPerSecond: number;
+  readonly coldMs: number;
+}
+
 /** Options of {@linkcode startPlatformFleet}. */
 export interface PlatformFleetOptions {
   /** Number of VMs in each failure domain, in order. */
@@ -48,6 +57,11 @@
    * @default 2
    */
   readonly workMs?: number;
+  /**
+   * Limit of the requests to a cold server, which crashes at more.
+   * @default no limit
+   */
+  readonly warmUp?: WarmUpConfig;
   /**
    * Resolves the port to connect to instead of `port`, such as a proxy's.
    * @default `port` itself
@@ -82,6 +96,8 @@
   publish(teams: readonly TeamConfig[]): void;
   /** Writes a server's entry with the given state and keeps renewing it. */
   announceServer(index: number, state: "ready" | "draining"): void;
+  /** Lets a server return, cold if there is a limit for that. */
+  restoreServer(index: number): void;
   /** Removes a server's entry and stops renewing it. */
   removeServer(index: number): void;
   /** Starts a VM's daemon again, on the same ports. */
@@ -103,6 +119,7 @@
         startServerStandin({
           name: `i-${index}`,
           workMs: options.workMs ?? 2,
+          maxColdPerSecond: options.warmUp?.maxPerSecond ?? Infinity,
           dialect: PLATFORM_DIALECT,
           formatLoad: ({ running, waiting }, slots) =>
             `${running},${waiting},${slots}`,
@@ -147,9 +164,16 @@
     vms,
     publish: (teams) => {
       version += 3;
-      store.put("keyed.op", "config", createConfiguration(version, teams));
+      const { warmUp } = options;
+      const configuration = createConfiguration(version, teams, warmUp);
+      store.put("keyed.op", "config", configuration);
     },
     announceServer: registry.announce,
+    restoreServer: (index) => {
+      const coldMs = options.warmUp?.coldMs ?? 0;
+      servers[index]?.startCold(coldMs);
+      registry.announce(index, "ready", coldMs);
+    },
     removeServer: registry.remove,
     startVm,
     stop: async () => {
@@ -169,7 +193,7 @@
 
 /** Writes the servers' entries to the store and renews them. */
 interface Registry {
-  announce(index: number, state: "ready" | "draining"): void;
+  announce(index: number, state: "ready" | "draining", coldMs?: number): void;
   remove(index: number): void;
   stop(): void;
 }
@@ -180,8 +204,12 @@
 ): Registry {
   const states = ports.map((): string | undefined => "ready");
   let sequence = 0;
-  const announce = (index: number, state: string): void => {
+  const coldUntil = ports.map(() => 0);
+  const announce = (index: number, state: string, coldMs?: number): void => {
+    const now = performance.now();
     states[index] = state;
+    if (coldMs !== undefined) coldUntil[index] = now + coldMs;
+    const remainingMs = Math.max(0, (coldUntil[index] ?? 0) - now);
     sequence += 1;
     store.put("keyed.servers", `i-${index}`, {
       Service: SERVICE,
@@ -190,7 +218,7 @@
       Version: "v1",
       Slots: 4,
       State: state,
-      ColdRemaining: "0ms",
+      ColdRemaining: `${Math.round(remainingMs)}ms`,
       Sequence: sequence,
       born: 1,
     });
@@ -269,6 +297,7 @@
 function createConfiguration(
   version: number,
   teams: readonly TeamConfig[],
+  warmUp: WarmUpConfig | undefined,
 ): unknown {
   const route = {
     Host: ROUTE_HOST,
@@ -297,6 +326,8 @@
       MaxConnections: 330,
       Protocol: "h1",
       Tls: false,
+      WarmupPerS: warmUp?.perSecond ?? 0,
+      ColdStart: `${warmUp?.coldMs ?? 0}ms`,
     }],
     Limits: {
       MaxHeaderBytes: 16_384,
--- a/soak/departures.ts
+++ b/soak/departures.ts
@@ -72,5 +72,5 @@
   records.push(record);
   await sleep(awayMs);
   record.returnedAt = performance.now();
-  fleet.announceServer(server, "ready");
+  fleet.restoreServer(server);
 }
--- a/soak/invariants.ts
+++ b/soak/invariants.ts
@@ -51,6 +51,7 @@
     ...checkQuota(evidence, executions),
     ...checkPlannedStops(evidence),
     ...checkDepartures(evidence),
+    ...checkColdServers(evidence),
   ];
 }
 
@@ -182,6 +183,15 @@
   });
 }
 
+/** Checks that no server got more requests than it tolerates while cold. */
+function checkColdServers({ fleet }: Evidence): string[] {
+  return fleet.servers.flatMap(({ crashCount }, index) =>
+    crashCount === 0 ? [] : [
+      `i-${index} crashed ${crashCount} times at too many requests while cold`,
+    ]
+  );
+}
+
 /**
  * Whether another fault affected the VM, its connections or any backend server
  * during the stop or shortly before it. Reloads don't count.
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -43,6 +43,8 @@
 /** Requests per window that rate and burst allow, plus 10%, plus 20. */
 const TOLERATED_PER_WINDOW = (LIMIT.ratePerS * WINDOW_S + LIMIT.burst) * 1.1 +
   20;
+/** Limit of requests to cold servers; they crash above the tolerated number. */
+const WARM_UP = { perSecond: 3.8, maxPerSecond: 3.8 * 1.5 + 8, coldMs: 3_000 };
 /** Tokens and statuses in flight, in seconds of the rate (docs/PLATFORM.md). */
 const IN_FLIGHT_S = 0.8;
 /** Number of requests that check the fleet after its recovery. */
@@ -93,6 +95,7 @@
     vms: options.vms,
     servers: options.servers,
     workMs: 40,
+    warmUp: WARM_UP,
     resolvePort: async ({ kind, name }, port) => {
       const proxy = new FaultProxy(port);
       proxies.set(`${kind} ${name}`, proxy);
--- a/src/services/warm_up/warm_up_test.ts
+++ b/src/services/warm_up/warm_up_test.ts
@@ -65,6 +65,21 @@
   });
 }
 
+// Guards against servers that become cold while all VMs use them.
+test("servers that are cold twice stay within the bound", async () => {
+  const fleet = new WarmUpFleet({ b: 10 }, LIMIT);
+  fleet.startLoad(LOAD_PER_SECOND / 4);
+  fleet.setServers("b", 0, RETURNING / 4, 0);
+  for (let count = 0; count < 2; count += 1) {
+    await fleet.time.advance(SETTLE_MS);
+    fleet.setServers("b", 0, RETURNING / 4, LIMIT.coldMs);
+    await fleet.time.advance(LIMIT.coldMs);
+  }
+  const peak = fleet.countPeak();
+  assert.ok(peak <= computeBound(LIMIT.perSecond), `peak ${peak}`);
+  assert.equal(fleet.countUsed(), RETURNING / 4);
+});
+
 /** A fault of one VM; the kinds are explained by {@linkcode applyFault}. */
 interface Fault {
   readonly kind: "freeze" | "cut" | "restart" | "forget";
--- a/standins/server_standin.ts
+++ b/standins/server_standin.ts
@@ -4,6 +4,7 @@
 import { DEFAULT_DIALECT } from "../src/protocols/http/dialect.ts";
 import type { HttpDialect } from "../src/protocols/http/dialect.ts";
 import type { LoadReport } from "../src/services/forwarding/upstream.ts";
+import { ColdLimit } from "./cold_limit.ts";
 import { closeServer } from "./json_server.ts";
 
 /** Behavior of the stand-in; all modes except `Healthy` simulate faults. */
@@ -49,6 +50,11 @@
    * @default 0
    */
   coldWorkMs?: number;
+  /**
+   * Number of requests in a second above which a cold server crashes.
+   * @default Infinity
+   */
+  maxColdPerSecond?: number;
   /**
    * Maximum number of open connections.
    * @default 300
@@ -107,6 +113,9 @@
   readonly recordedRequests: RecordedRequest[] = [];
   /** Number of requests that were run. */
   runCount = 0;
+  /** Number of crashes; each breaks all connections. */
+  crashCount = 0;
+  readonly #coldLimit: ColdLimit;
   readonly #options: Required<ServerStandinOptions>;
   readonly #server: http.Server;
   readonly #startedAt = performance.now();
@@ -122,6 +131,7 @@
       slots: 4,
       workMs: 2,
       coldWorkMs: 0,
+      maxColdPerSecond: Infinity,
       maxConnections: 300,
       errorShare: 0.5,
       slowFactor: 10,
@@ -130,6 +140,7 @@
         `running=${running}, waiting=${waiting}`,
       ...options,
     };
+    this.#coldLimit = new ColdLimit(this.#options.maxColdPerSecond);
     this.#server = http.createServer((request, response) => {
       void this.#serve(request, response);
     });
@@ -150,6 +161,11 @@
     });
   }
 
+  /** Starts a cold time; too many requests during it crash the server. */
+  startCold(coldMs: number): void {
+    this.#coldLimit.start(coldMs);
+  }
+
   /** Closes the listener and all connections. */
   close(): Promise<void> {
     return closeServer(this.#server);
@@ -169,6 +185,10 @@
         response.writeHead(STATUS_MISDIRECTED).end();
         return;
       }
+      if (this.#coldLimit.recordArrival()) {
+        this.crashCount += 1;
+        return this.#server.closeAllConnections();
+      }
       if (this.#isShedding()) return this.#sendShed(request, response);
       await this.#acquireSlot();
       try {
