Prefer cold servers only if their entries say that they are cold

Cause: a server that had timed out once was handled as cold, and an owner then preferred it for requests that may be retried, which might wait for another timeout each.

Change: such a server is Unclear: it needs a permit, but is not preferred. A server that was never cold is recognized without further lookups, since each request asks several times for each server.

--- a/src/services/selection/cold_penalty.ts
+++ b/src/services/selection/cold_penalty.ts
@@ -19,6 +19,7 @@
     case Warmth.Warm:
       return 0;
     case Warmth.Slow:
+    case Warmth.Unclear:
     case Warmth.Withheld:
       return COLD_START_RATIO;
     case Warmth.Permitted:
@@ -32,6 +33,7 @@
     case Warmth.Warm:
     case Warmth.Slow:
     case Warmth.Permitted:
+    case Warmth.Unclear:
       return true;
     case Warmth.Withheld:
       return false;
@@ -53,6 +55,7 @@
     case Warmth.Slow:
       return slots;
     case Warmth.Permitted:
+    case Warmth.Unclear:
     case Warmth.Withheld:
       return Math.min(slots, rateLimit * processingMs / 1_000);
   }
--- a/src/services/warm_up/mod.ts
+++ b/src/services/warm_up/mod.ts
@@ -54,6 +54,8 @@
   Slow = "slow",
   /** Cold; this VM may send it one request now. */
   Permitted = "permitted",
+  /** May have restarted; this VM may send it one request now. */
+  Unclear = "unclear",
   /** Cold; this VM may send it none now. */
   Withheld = "withheld",
 }
@@ -149,6 +151,8 @@
   }
 
   getWarmth(server: Server): Warmth {
+    // Called for each server several times per request; most are never cold.
+    if (!server.coldMs && !this.#restarts.hasMarks) return Warmth.Warm;
     const now = this.#deps.clock.now();
     const limit = this.#findLimit(server.service);
     if (limit === undefined) {
@@ -156,9 +160,10 @@
     }
     if (!this.#isCold(server, now)) return Warmth.Warm;
     const { bucket, share } = this.#getColdServer(server, limit);
-    return share !== undefined && bucket.hasPermit(share.perSecond, now)
-      ? Warmth.Permitted
-      : Warmth.Withheld;
+    const hasPermit = share !== undefined &&
+      bucket.hasPermit(share.perSecond, now);
+    if (!hasPermit) return Warmth.Withheld;
+    return now < getColdUntil(server) ? Warmth.Permitted : Warmth.Unclear;
   }
 
   getRateLimit(server: Server): number {
--- a/src/services/warm_up/restarts.ts
+++ b/src/services/warm_up/restarts.ts
@@ -34,6 +34,11 @@
 export class Restarts {
   readonly #marks = new Map<ServerId, Mark>();
 
+  /** Whether any server is marked. */
+  get hasMarks(): boolean {
+    return this.#marks.size > 0;
+  }
+
   /** Records that a server refused a connection or could not be reached. */
   recordUnreachable(server: Server, coldMs: number, now: number): void {
     this.#marks.set(server.id, {
