--- a/src/services/feed/server_registry.ts
+++ b/src/services/feed/server_registry.ts
@@ -4,6 +4,7 @@
 import type { Configuration } from "../configuration/mod.ts";
 import { computeHash } from "../hashing/mod.ts";
 import type { Logger } from "../logging/mod.ts";
+import { isColdAgain } from "./cold_servers.ts";
 import { ServerOrigin, ServerUpdateKind } from "./source.ts";
 import type {
   ServerEntry,
@@ -291,7 +292,9 @@
     const known = configuration.state.servers.get(id);
     const isSameStart = earlier?.entry.startedAt === entry.startedAt;
     if (
-      known !== undefined && isSameStart && isUnchanged(known, entry.server)
+      known !== undefined && isSameStart &&
+      isUnchanged(known, entry.server) &&
+      !isColdAgain(known, entry.server, now)
     ) {
       return;
     }
@@ -309,6 +312,7 @@
       earlier: known?.phase ?? "none",
       origin,
       address: `${entry.server.host}:${entry.server.port}`,
+      coldMs: entry.server.coldMs ?? 0,
       offset,
     });
   }
@@ -476,10 +480,7 @@
   return entry.sequence > earlier.sequence;
 }
 
-/**
- * Whether an entry changes nothing. Ignores the remaining cold time, which
- * decreases anyway.
- */
+/** Whether an entry changes nothing, except for the remaining cold time. */
 function isUnchanged(known: Server, listed: ServerEntry["server"]): boolean {
   return known.service === listed.service && known.host === listed.host &&
     known.port === listed.port && known.phase === listed.phase &&
--- a/src/services/fleet/directory.ts
+++ b/src/services/fleet/directory.ts
@@ -53,12 +53,15 @@
   readonly createHello: () => FleetMessage;
   /** Called after VMs were added to the list. */
   readonly recordAdded: (added: readonly VmEntry[]) => void;
+  /** Called after a VM was removed from the list. */
+  readonly recordRemoved: (name: VmName) => void;
 }
 
 /** Updates the list of VMs from the directory. */
 export class DirectoryReader {
   readonly #deps: DirectoryReaderDependencies;
   #isRead = false;
+  #hasFullList = false;
   #isAnnounced = false;
   #isLeaving = false;
   /**
@@ -81,6 +84,16 @@
     return this.#isRead;
   }
 
+  /** Whether all VMs of the directory are known: a read was complete. */
+  get hasFullList(): boolean {
+    return this.#hasFullList;
+  }
+
+  /** Whether this VM is removing itself from the directory. */
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
   /** Announces this VM in the directory; retries until that succeeds. */
   async runAnnouncing(signal: AbortSignal): Promise<void> {
     const { clock, directory, self, logger } = this.#deps;
@@ -107,6 +120,7 @@
           if (position === undefined) this.#replaceAll(read);
           else this.#applyUpdates(read.updates);
           position = read.next;
+          if (read.isComplete) this.#hasFullList = true;
           break;
         case FeedReadKind.OutOfRange:
         case FeedReadKind.EraChanged:
@@ -118,7 +132,8 @@
           break;
       }
       this.#isRead = true;
-      if (position === undefined || this.#deps.isHub()) continue;
+      const mustContinue = !this.#hasFullList || this.#deps.isHub();
+      if (position === undefined || mustContinue) continue;
       position = undefined;
       await this.#waitForHubRole(signal);
     }
@@ -254,5 +269,6 @@
       return;
     }
     list.remove(name);
+    this.#deps.recordRemoved(name);
   }
 }
