Run pipelined idempotent requests together, by the time they were read

Cause: the requests of a connection ran one after the other, and each one's time began when its turn came. At a stop, requests behind the closing response were still forwarded. Invalid input was refused before earlier responses.

Change: RequestHead.receivedAt is set when the head is read; the deadline and the latency count from it. RequestOrder decides which response closes the connection; nothing behind it is passed on. A disconnect aborts all requests of the connection.

--- a/bench/virtual_load.ts
+++ b/bench/virtual_load.ts
@@ -7,6 +7,9 @@
 import type { Random } from "../src/services/random/mod.ts";
 import type { VirtualFleet } from "../tests/virtual_fleet.ts";
 
+/** Head of a request that is not sent yet. */
+export type UnsentHead = Omit<RequestHead, "receivedAt">;
+
 /** Outcome of a request, as its caller observed it. */
 export enum CallerOutcome {
   Succeeded = "answered",
@@ -28,7 +31,7 @@
   readonly ratePerSecond: number;
   /** Duration of the load, in milliseconds. */
   readonly durationMs: number;
-  readonly head: RequestHead;
+  readonly head: UnsentHead;
   readonly random: Random;
   /** Picks the VM of the next request. */
   readonly pickVm: () => string;
@@ -61,10 +64,11 @@
 export async function sendOne(
   fleet: VirtualFleet,
   vm: string,
-  head: RequestHead,
+  head: UnsentHead,
 ): Promise<CallerResult> {
   const sentAt = fleet.time.now;
-  const outcome = await runRequest(fleet, vm, head);
+  const receivedAt = fleet.find(vm, ServiceName.Clock).now();
+  const outcome = await runRequest(fleet, vm, { ...head, receivedAt });
   return { outcome, sentAt, endedAt: fleet.time.now };
 }
 
@@ -103,6 +107,7 @@
     },
     signal: new AbortController().signal,
     isResponseStarted: false,
+    tryPassOn: () => true,
     sendBuffered: (response) => Promise.resolve(recordStatus(response.status)),
     sendStreamed: (response) => Promise.resolve(recordStatus(response.status)),
     sendRefusal: () => Promise.resolve(),
--- a/src/daemon/wiring/callers.ts
+++ b/src/daemon/wiring/callers.ts
@@ -21,17 +21,19 @@
 ): void {
   kernel.add(createServiceDefinition({
     name: ServiceName.CallerServer,
-    dependencies: [ServiceName.Settings],
+    dependencies: [ServiceName.Settings, ServiceName.Clock],
     create: (find, scope) =>
-      createHttpCallerServer(
-        find(ServiceName.Settings).callerListen,
+      createHttpCallerServer({
+        address: find(ServiceName.Settings).callerListen,
         dialect,
-        scope.createBoundary(),
-      ),
+        boundary: scope.createBoundary(),
+        clock: find(ServiceName.Clock),
+      }),
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.CallerFront,
     dependencies: [
+      ServiceName.Settings,
       ServiceName.Clock,
       ServiceName.CallerServer,
       ServiceName.Configuration,
@@ -54,6 +56,7 @@
         addresses: find(ServiceName.Addresses),
         metrics: find(ServiceName.Metrics),
         logger,
+        pipelineLimit: find(ServiceName.Settings).pipelineLimit,
       });
       const configuration = find(ServiceName.Configuration);
       configuration.addListener(() => {
--- a/src/model/http_message.ts
+++ b/src/model/http_message.ts
@@ -12,6 +12,8 @@
   /** Path and query as sent. */
   readonly target: string;
   readonly headers: readonly HeaderField[];
+  /** Monotonic time at which the head was read, in milliseconds. */
+  readonly receivedAt: number;
   /** Requested host, in lower case and without a port. */
   readonly host?: string | undefined;
   /** Attempt id chosen by the caller; undefined if it chose none. */
--- a/src/protocols/http/caller_exchange.ts
+++ b/src/protocols/http/caller_exchange.ts
@@ -14,6 +14,8 @@
   removeFields,
   removeHopByHop,
 } from "./header_fields.ts";
+import type { RequestOrder } from "../../services/caller_front/request_order.ts";
+import type { ReadRequest } from "./caller_connection.ts";
 import type { HttpDialect } from "./dialect.ts";
 import { encodeRefusal } from "./refusal_codec.ts";
 
@@ -22,34 +24,29 @@
 
 /** Options of {@linkcode createExchange}. */
 export interface ExchangeOptions {
+  /** Monotonic time at which the head was read, in milliseconds. */
+  readonly receivedAt: number;
   /** Whether the caller expects `100 Continue` before it sends the body. */
-  expectsContinue: boolean;
-  /** Whether the server is closing; the connection then closes too. */
-  isClosing: () => boolean;
-  dialect: HttpDialect;
+  readonly expectsContinue: boolean;
+  readonly dialect: HttpDialect;
 }
 
 /** Creates the exchange for a request that Node has parsed. */
 export function createExchange(
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
+  read: ReadRequest,
   options: ExchangeOptions,
 ): CallerExchange {
-  const disconnected = new AbortController();
-  response.once("close", () => {
-    if (!response.writableFinished) disconnected.abort();
-  });
-  response.on("error", () => disconnected.abort());
-  const { signal } = disconnected;
-  const sender = new ResponseSender(request, response, options, signal);
+  const { request, response } = read;
+  const sender = new ResponseSender(read, options.dialect);
   return {
     peer: request.socket.remoteAddress ?? "",
-    head: createHead(request, options.dialect),
+    head: createHead(request, options),
     body: createIncomingBody(request, response, options),
-    signal,
+    signal: read.disconnected.signal,
     get isResponseStarted() {
       return response.headersSent;
     },
+    tryPassOn: () => sender.tryPassOn(),
     sendBuffered: (buffered) => sender.sendBuffered(buffered),
     sendStreamed: (streamed) => sender.sendStreamed(streamed),
     sendRefusal: (refusal) => sender.sendRefusal(refusal),
@@ -59,7 +56,7 @@
 
 function createHead(
   request: http.IncomingMessage,
-  dialect: HttpDialect,
+  { dialect, receivedAt }: ExchangeOptions,
 ): RequestHead {
   const { headers } = request;
   const host = headers.host?.toLowerCase().replace(/:\d+$/, "");
@@ -70,6 +67,7 @@
     target: request.url ?? "/",
     headers: removeHopByHop(decodeHeaders(request.rawHeaders)),
     host,
+    receivedAt,
     ...(dialect.hasCallerFields && {
       attempt: typeof attempt === "string" ? attempt : undefined,
       remainingMs: Number.isFinite(remainingMs) ? remainingMs : undefined,
@@ -100,20 +98,26 @@
 class ResponseSender {
   readonly #request: http.IncomingMessage;
   readonly #response: http.ServerResponse;
-  readonly #options: ExchangeOptions;
+  readonly #order: RequestOrder;
+  readonly #dialect: HttpDialect;
   /** Aborts when the caller disconnects. */
   readonly #disconnected: AbortSignal;
+  /** Undefined until the request is passed on. */
+  #number: number | undefined;
+
+  constructor(read: ReadRequest, dialect: HttpDialect) {
+    this.#request = read.request;
+    this.#response = read.response;
+    this.#order = read.order;
+    this.#disconnected = read.disconnected.signal;
+    this.#dialect = dialect;
+  }
 
-  constructor(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-    options: ExchangeOptions,
-    disconnected: AbortSignal,
-  ) {
-    this.#request = request;
-    this.#response = response;
-    this.#options = options;
-    this.#disconnected = disconnected;
+  tryPassOn(): boolean {
+    this.#number = this.#order.tryPassOn();
+    if (this.#number === undefined) return false;
+    this.#response.once("finish", () => this.#order.recordAnswered());
+    return true;
   }
 
   async sendBuffered(buffered: BufferedResponse): Promise<void> {
@@ -146,10 +150,7 @@
       this.#response.destroy();
       return;
     }
-    const { status, headers, body } = encodeRefusal(
-      refusal,
-      this.#options.dialect,
-    );
+    const { status, headers, body } = encodeRefusal(refusal, this.#dialect);
     await this.sendBuffered({ status, headers, body });
   }
 
@@ -173,11 +174,12 @@
   }
 
   /**
-   * Whether the connection must close after this response. It must if the
-   * request body was not read to its end: the next request comes after it.
+   * Whether the connection closes after this response. It must if the request
+   * body was not read to its end: the next request comes after it.
    */
   #isLast(): boolean {
-    return this.#options.isClosing() || !this.#request.complete;
+    if (this.#number === undefined) return true;
+    return this.#order.tryEnd(this.#number, !this.#request.complete);
   }
 
   async #write(chunk: Uint8Array): Promise<void> {
@@ -188,7 +190,13 @@
 
   #close(chunk: Uint8Array | undefined): Promise<void> {
     return new Promise((resolve) => {
-      if (this.#response.destroyed) return resolve();
+      // A response that is queued behind another one gets no `close` event.
+      if (this.#response.destroyed || this.#disconnected.aborted) {
+        return resolve();
+      }
+      this.#disconnected.addEventListener("abort", () => resolve(), {
+        once: true,
+      });
       this.#response.once("close", resolve);
       this.#response.end(chunk, () => resolve());
     });
--- a/src/protocols/http/caller_server.ts
+++ b/src/protocols/http/caller_server.ts
@@ -9,13 +9,14 @@
 import type { HandlerBoundary } from "../../kernel/mod.ts";
 import { RefusalKind, RunState, Step } from "../../model/mod.ts";
 import type { Refusal } from "../../model/mod.ts";
+import type { Clock } from "../../services/clock/mod.ts";
 import type {
   CallerConnection,
-  CallerExchange,
   CallerServer,
 } from "../../services/caller_front/exchange.ts";
 import type { Address } from "../../settings/mod.ts";
 import type { HttpDialect } from "./dialect.ts";
+import { Connection, InvalidInput } from "./caller_connection.ts";
 import { createExchange } from "./caller_exchange.ts";
 import { createGuardedHandler, openServer } from "./listener.ts";
 import { encodeRefusal } from "./refusal_codec.ts";
@@ -23,40 +24,25 @@
 const HEADER_OVERFLOW = "HPE_HEADER_OVERFLOW";
 const CONNECTION_RESET = "ECONNRESET";
 
-/** A caller's connection and the requests received on it. */
-class Connection implements CallerConnection {
-  readonly peer: string;
-  readonly requests = new Channel<CallerExchange>();
-  /** Requests that were received and not responded to yet. */
-  inProgress = 0;
-
-  constructor(socket: Socket) {
-    this.peer = `${socket.remoteAddress}:${socket.remotePort}`;
-  }
-
-  listExchanges(): AsyncIterable<CallerExchange> {
-    return this.requests;
-  }
+/** Options of {@linkcode createHttpCallerServer}. */
+export interface CallerServerOptions {
+  readonly address: Address;
+  readonly dialect: HttpDialect;
+  readonly boundary: HandlerBoundary;
+  readonly clock: Clock;
 }
 
 /** Listens for callers and yields their connections. */
 class HttpCallerServer implements CallerServer {
-  readonly #address: Address;
-  readonly #dialect: HttpDialect;
-  readonly #boundary: HandlerBoundary;
+  readonly #options: CallerServerOptions;
   readonly #server: http.Server;
   readonly #accepted = new Channel<CallerConnection>();
   readonly #connections = new Map<Socket, Connection>();
   #isClosing = false;
 
-  constructor(
-    address: Address,
-    dialect: HttpDialect,
-    boundary: HandlerBoundary,
-  ) {
-    this.#address = address;
-    this.#dialect = dialect;
-    this.#boundary = boundary;
+  constructor(options: CallerServerOptions) {
+    this.#options = options;
+    const { boundary } = options;
     this.#server = http.createServer({
       maxHeaderSize: CALLER_HEADER_LIMIT_BYTES,
       keepAliveTimeout: CALLER_IDLE_TIMEOUT_MS,
@@ -79,7 +65,7 @@
       const socket = stream as Socket;
       boundary.run(
         `${socket.remoteAddress}:${socket.remotePort}`,
-        () => refuseUnparsed(dialect, error, socket),
+        () => this.#handleInvalidInput(error, socket),
         () => socket.destroy(),
       );
     });
@@ -90,7 +76,8 @@
   }
 
   open(): Promise<void> {
-    return openServer(this.#server, this.#address, this.#boundary);
+    const { address, boundary } = this.#options;
+    return openServer(this.#server, address, boundary);
   }
 
   listConnections(): AsyncIterable<CallerConnection> {
@@ -103,30 +90,29 @@
 
   closeAfterResponses(): void {
     this.#isClosing = true;
+    for (const connection of this.#connections.values()) {
+      connection.startClosing();
+    }
   }
 
   close(): Promise<void> {
-    this.#isClosing = true;
+    this.closeAfterResponses();
     return new Promise((resolve) => {
       this.#server.close(() => {
         this.#accepted.close();
         resolve();
       });
       // Node's own list of idle connections lacks those without any request.
-      for (const [socket, { inProgress }] of this.#connections) {
-        if (inProgress === 0) socket.destroy();
+      for (const [socket, { isIdle }] of this.#connections) {
+        if (isIdle) socket.destroy();
       }
     });
   }
 
   #addConnection(socket: Socket): void {
-    const connection = new Connection(socket);
+    const connection = new Connection(socket, this.#isClosing);
     this.#connections.set(socket, connection);
-    socket.setNoDelay(true);
-    socket.once("close", () => {
-      this.#connections.delete(socket);
-      connection.requests.close();
-    });
+    socket.once("close", () => this.#connections.delete(socket));
     this.#accepted.send(connection);
   }
 
@@ -135,27 +121,33 @@
     response: http.ServerResponse,
     expectsContinue: boolean,
   ): void {
-    const connection = this.#connections.get(request.socket);
-    if (connection !== undefined) {
-      connection.inProgress += 1;
-      response.once("close", () => connection.inProgress -= 1);
+    const { clock, dialect } = this.#options;
+    const receivedAt = clock.now();
+    this.#connections.get(request.socket)?.addRequest(
+      request,
+      response,
+      (read) => createExchange(read, { receivedAt, expectsContinue, dialect }),
+    );
+  }
+
+  #handleInvalidInput(error: NodeJS.ErrnoException, socket: Socket): void {
+    const connection = this.#connections.get(socket);
+    switch (connection?.recordInvalidInput() ?? InvalidInput.Abort) {
+      case InvalidInput.Refuse:
+        return refuseUnparsed(this.#options.dialect, error, socket);
+      case InvalidInput.CloseAfterResponses:
+        return;
+      case InvalidInput.Abort:
+        socket.destroy();
     }
-    const exchange = createExchange(request, response, {
-      expectsContinue,
-      isClosing: () => this.#isClosing,
-      dialect: this.#dialect,
-    });
-    connection?.requests.send(exchange);
   }
 }
 
 /** Creates a server for callers; it listens after `open` is called. */
 export function createHttpCallerServer(
-  address: Address,
-  dialect: HttpDialect,
-  boundary: HandlerBoundary,
+  options: CallerServerOptions,
 ): CallerServer {
-  return new HttpCallerServer(address, dialect, boundary);
+  return new HttpCallerServer(options);
 }
 
 /** Refuses input that is not a valid request, and closes its connection. */
--- a/src/services/admission/mod.ts
+++ b/src/services/admission/mod.ts
@@ -1,6 +1,7 @@
 /** Admission service: decides whether a request may run, and for which team. */
 import { FRESHNESS_BOUND_MS, MIN_ATTEMPT_MS } from "../../constants.ts";
 import {
+  Idempotency,
   KeyPhase,
   RefusalKind,
   RouteAccess,
@@ -101,7 +102,7 @@
 
   /** Decides on an arriving request under the current configuration. */
   admit(head: RequestHead): AdmissionDecision {
-    const { clock, configuration } = this.#deps;
+    const { configuration } = this.#deps;
     const path = parsePath(head.target);
     if (path === undefined) {
       return refuse(RefusalKind.BadRequest, Step.Parse);
@@ -133,7 +134,7 @@
     }
     const preset = state.getPreset();
     const team = state.teams.get(state.keys.get(key)?.team ?? "");
-    const arrivedAt = clock.now();
+    const arrivedAt = head.receivedAt;
     const timeoutMs = Math.min(
       route.deadlineMs * preset.deadlineFactor,
       head.remainingMs ?? Infinity,
@@ -153,7 +154,7 @@
       arrivedAt,
       deadlineAt: arrivedAt + timeoutMs,
     };
-    const refusal = this.#checkShutdown(plan, timeoutMs);
+    const refusal = this.#checkTime(plan);
     return refusal === undefined
       ? { kind: AdmissionKind.Admitted, plan }
       : { kind: AdmissionKind.Refused, refusal };
@@ -191,14 +192,31 @@
 
   /** Checks before a dispatch whether an admitted request may still run. */
   checkPlan(plan: RequestPlan): Refusal | undefined {
+    const expired = this.#checkTime(plan);
+    if (expired !== undefined) return expired;
+    if (plan.route.access === RouteAccess.Open) return undefined;
+    return this.checkKey(plan.key);
+  }
+
+  /**
+   * Whether a request may run beside others of its connection. One that will be
+   * refused may, since no server receives it.
+   */
+  isIdempotent(head: RequestHead): boolean {
+    const path = parsePath(head.target);
+    if (path === undefined) return true;
+    const { routeTable } = this.#deps.configuration.state;
+    const route = routeTable.find(head.method, path, head.host);
+    return route?.idempotency !== Idempotency.NonIdempotent;
+  }
+
+  /** Returns a refusal if a request's deadline or this VM's stop is too near. */
+  #checkTime(plan: RequestPlan): Refusal | undefined {
     const remainingMs = plan.deadlineAt - this.#deps.clock.now();
     if (remainingMs < MIN_ATTEMPT_MS) {
       return createRefusal(RefusalKind.DeadlineExpired, Step.Queue);
     }
-    const stopping = this.#checkShutdown(plan, remainingMs);
-    if (stopping !== undefined) return stopping;
-    if (plan.route.access === RouteAccess.Open) return undefined;
-    return this.checkKey(plan.key);
+    return this.#checkShutdown(plan, remainingMs);
   }
 
   /** Returns a refusal if this VM stops before the request is likely to end. */
--- a/src/services/caller_front/exchange.ts
+++ b/src/services/caller_front/exchange.ts
@@ -31,6 +31,13 @@
   readonly signal: AbortSignal;
   /** Whether part of a response may have been sent. */
   readonly isResponseStarted: boolean;
+  /**
+   * Tries to pass the request on; called before anything is done about it.
+   *
+   * Returns false if the connection closes after the response to an earlier
+   * request, or may do so: the caller then takes this one as not read.
+   */
+  tryPassOn(): boolean;
   /** Sends a response whose body is in memory. */
   sendBuffered(response: BufferedResponse): Promise<void>;
   /**
@@ -64,7 +71,10 @@
   listConnections(): AsyncIterable<CallerConnection>;
   /** Sets the time after which an idle connection is closed, in ms. */
   setIdleTimeout(ms: number): void;
-  /** Closes each connection after the response to its current request. */
+  /**
+   * Closes each connection after the responses to the requests that were passed
+   * on, or after the next response if there are none.
+   */
   closeAfterResponses(): void;
   /** Accepts no more connections; resolves when the last one is closed. */
   close(): Promise<void>;
--- a/src/services/caller_front/mod.ts
+++ b/src/services/caller_front/mod.ts
@@ -18,6 +18,7 @@
   CallerExchange,
   CallerServer,
 } from "./exchange.ts";
+import { Concurrency, Pipeline } from "./pipeline.ts";
 
 const ADDRESSES_TARGET = `${LOCAL_PATH_PREFIX}/addresses`;
 
@@ -35,6 +36,8 @@
   readonly addresses: AddressSelector;
   readonly metrics: Metrics;
   readonly logger: Logger;
+  /** Maximum number of requests of a connection that run at the same time. */
+  readonly pipelineLimit: number;
 }
 
 /** Admits callers' requests and forwards them within their teams' limits. */
@@ -65,15 +68,47 @@
 
   async #serveConnection(connection: CallerConnection): Promise<void> {
     this.#openConnections += 1;
+    const pipeline = new Pipeline(this.#deps.pipelineLimit);
     try {
       for await (const exchange of connection.listExchanges()) {
-        await this.#serveExchange(exchange);
+        const concurrency = this.#getConcurrency(exchange);
+        if (!await this.#waitForTurn(pipeline, exchange, concurrency)) break;
+        pipeline.start(concurrency, () => this.#serveExchange(exchange));
       }
+      await pipeline.waitForAll();
     } finally {
       this.#openConnections -= 1;
     }
   }
 
+  /** Waits for a request's turn; false if the connection closes before it. */
+  async #waitForTurn(
+    pipeline: Pipeline,
+    exchange: CallerExchange,
+    concurrency: Concurrency,
+  ): Promise<boolean> {
+    const { metrics, logger } = this.#deps;
+    if (pipeline.running > 0) metrics.add(Counter.Pipelined, concurrency);
+    await pipeline.waitForTurn(concurrency);
+    if (exchange.signal.aborted) return false;
+    if (exchange.tryPassOn()) return true;
+    // The connection is closing; only a request that follows none may start.
+    await pipeline.waitForAll();
+    if (exchange.tryPassOn()) return true;
+    metrics.add(Counter.Dropped);
+    logger.info("dropped a request behind a response that closes", {
+      request: exchange.head.attempt ?? "",
+      peer: exchange.peer,
+    });
+    return false;
+  }
+
+  #getConcurrency({ head }: CallerExchange): Concurrency {
+    return isLocalTarget(head.target) || this.#deps.admission.isIdempotent(head)
+      ? Concurrency.Shared
+      : Concurrency.Exclusive;
+  }
+
   async #serveExchange(exchange: CallerExchange): Promise<void> {
     try {
       await this.#runExchange(exchange);
--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -19,6 +19,8 @@
   LateChoices = "late_choices",
   StoreReads = "store_reads",
   Refusals = "refusals",
+  Pipelined = "pipelined",
+  Dropped = "dropped",
   ServerNotices = "server_notices",
   HandlerErrors = "handler_errors",
   UncaughtExceptions = "uncaught_exceptions",
@@ -39,6 +41,10 @@
   [Counter.HandlerErrors]:
     "Errors of listeners while they handled input, by service.",
   [Counter.UncaughtExceptions]: "Exceptions that no code caught.",
+  [Counter.Pipelined]:
+    "Requests read while others of their connection ran, by kind.",
+  [Counter.Dropped]:
+    "Requests not run because their connection closed before their turn.",
   [Counter.Refusals]: "Requests refused without a server's response, by kind.",
 };
 
--- a/src/settings/daemon_settings.ts
+++ b/src/settings/daemon_settings.ts
@@ -11,6 +11,7 @@
   listSchema,
   millisecondsSchema,
   nameSchema,
+  positiveIntegerSchema,
   ratioSchema,
   ResolutionKind,
   resolveFlags,
@@ -76,6 +77,8 @@
   readonly cores: number;
   /** Bandwidth of this VM's link, in Mbit/s. */
   readonly linkMbps: number;
+  /** Maximum number of requests of a connection that run at the same time. */
+  readonly pipelineLimit: number;
   /** Least severe level that is logged. */
   readonly logLevel: LogLevel;
   /** Format of log lines. */
@@ -220,6 +223,11 @@
     schema: countSchema,
     fallback: "1000",
   },
+  "pipeline-limit": {
+    description: "requests of a caller's connection that run at once",
+    schema: positiveIntegerSchema,
+    fallback: "8",
+  },
   "settings": {
     description: "path of the platform's settings file; accepted but not read",
     schema: z.string(),
@@ -286,6 +294,7 @@
       retryWindowMs: values["retry-window-ms"],
       cores: values["cores"],
       linkMbps: values["link-mbps"],
+      pipelineLimit: values["pipeline-limit"],
       logLevel: values["log-level"],
       logFormat: values["log-format"],
     }),
--- a/src/settings/flags.ts
+++ b/src/settings/flags.ts
@@ -113,6 +113,11 @@
   .regex(/^\d*\.?\d+$/, "must be a non-negative number")
   .transform(Number);
 
+/** Parses a positive integer of up to six digits. */
+export const positiveIntegerSchema: z.ZodType<number> = z.string()
+  .regex(/^\d{1,6}$/, "must be a positive integer")
+  .transform(Number).pipe(z.number().min(1));
+
 /** Returns the name of the environment variable for the flag `name`. */
 export function formatVariable(name: string): string {
   return `${ENVIRONMENT_PREFIX}_${name.replaceAll("-", "_").toUpperCase()}`;
