--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -18,6 +18,7 @@
   Hedges = "hedges",
   LateChoices = "late_choices",
   StoreReads = "store_reads",
+  StoreEras = "store_eras",
   Refusals = "refusals",
   Pipelined = "pipelined",
   Dropped = "dropped",
@@ -36,6 +37,7 @@
   [Counter.LateChoices]:
     "Requests not sent to the selected server after a wait for it.",
   [Counter.StoreReads]: "Reads of the store, by stream.",
+  [Counter.StoreEras]: "New eras of the store, which was restored from a copy.",
   [Counter.ServerNotices]:
     "Servers whose responses said that they leave or want a pause, by kind.",
   [Counter.HandlerErrors]:
