Bound the memory held for callers, servers and the VM

Cause: up to 256 KB of each response and 64 KB of each request body were buffered, however many requests were in progress, and bodies in flight to one server had no bound.

Change: the service memory_budget counts bytes for a connection, a server and the VM. A request that does not fit is refused with memory_full (503, not run); a body that can't be buffered is streamed; a server with too many bytes of bodies gets no further ones. Each case is counted, and logged once a second.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 import process from "node:process";
 import { runGrayBench } from "./gray.ts";
 import { runIdleBench } from "./idle.ts";
+import { runMemoryBench } from "./memory.ts";
 import { runOverloadBench, runRetryBench } from "./overload.ts";
 import { runPathBench } from "./path.ts";
 import { runSharesBench } from "./shares.ts";
@@ -10,6 +11,7 @@
 const BENCHES: Readonly<Record<string, () => Promise<void>>> = {
   gray: runGrayBench,
   idle: runIdleBench,
+  memory: runMemoryBench,
   overload: runOverloadBench,
   path: runPathBench,
   retry: runRetryBench,
--- a/bench/virtual_load.ts
+++ b/bench/virtual_load.ts
@@ -98,6 +98,7 @@
 ): CallerExchange {
   return {
     peer: "caller",
+    connection: "caller",
     head,
     body: {
       length: 0,
--- a/src/daemon/wiring/callers.ts
+++ b/src/daemon/wiring/callers.ts
@@ -44,6 +44,7 @@
       ServiceName.TeamLimiter,
       ServiceName.Addresses,
       ServiceName.Metrics,
+      ServiceName.MemoryBudget,
       ServiceName.Logging,
     ],
     create: (find, scope) => {
@@ -58,6 +59,7 @@
         limiter: find(ServiceName.TeamLimiter),
         addresses: find(ServiceName.Addresses),
         metrics: find(ServiceName.Metrics),
+        memory: find(ServiceName.MemoryBudget),
         logger,
         pipelineLimit: find(ServiceName.Settings).pipelineLimit,
       });
--- a/src/daemon/wiring/request_path.ts
+++ b/src/daemon/wiring/request_path.ts
@@ -12,6 +12,7 @@
 import { Dispatch } from "../../services/dispatch/mod.ts";
 import { Forwarding } from "../../services/forwarding/mod.ts";
 import { Shutdown } from "../../services/planned_stop/shutdown.ts";
+import { MemoryBudget } from "../../services/memory_budget/mod.ts";
 import { Overload } from "../../services/overload/mod.ts";
 import { Selection } from "../../services/selection/mod.ts";
 import { ServerNotices } from "../../services/server_notices/mod.ts";
@@ -138,6 +139,22 @@
       return client;
     },
   }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.MemoryBudget,
+    dependencies: [
+      ServiceName.Settings,
+      ServiceName.Clock,
+      ServiceName.Metrics,
+      ServiceName.Logging,
+    ],
+    create: (find) =>
+      new MemoryBudget({
+        clock: find(ServiceName.Clock),
+        limits: find(ServiceName.Settings).memoryLimits,
+        metrics: find(ServiceName.Metrics),
+        logger: find(ServiceName.Logging).createLogger("memory"),
+      }),
+  }));
   kernel.add(createServiceDefinition({
     name: ServiceName.Forwarding,
     dependencies: [
@@ -152,6 +169,7 @@
       ServiceName.Overload,
       ServiceName.UpstreamClient,
       ServiceName.Metrics,
+      ServiceName.MemoryBudget,
       ServiceName.Random,
       ServiceName.RetryBudget,
       ServiceName.Logging,
@@ -169,6 +187,7 @@
         overload: find(ServiceName.Overload),
         upstream: find(ServiceName.UpstreamClient),
         metrics: find(ServiceName.Metrics),
+        memory: find(ServiceName.MemoryBudget),
         random: find(ServiceName.Random),
         logger: find(ServiceName.Logging).createLogger("forwarding"),
         retryBudget: find(ServiceName.RetryBudget),
--- a/src/model/outcomes.ts
+++ b/src/model/outcomes.ts
@@ -80,6 +80,8 @@
   /** No VM that owns a share of the team's limits is reachable. */
   ShareMissing = "share_missing",
   QueueFull = "queue_full",
+  /** This VM holds as much data for callers as its memory allows. */
+  MemoryFull = "memory_full",
   /** The service has more requests queued than it can run in time. */
   Overloaded = "overloaded",
   /** This VM stops before the request could end; other VMs serve. */
--- a/src/model/process.ts
+++ b/src/model/process.ts
@@ -28,3 +28,17 @@
   /** The store of the users' platform. */
   Platform = "platform",
 }
+
+/** Limits in bytes; `Infinity` for none. */
+export interface MemoryLimits {
+  readonly connectionBytes: number;
+  readonly serverBytes: number;
+  readonly vmBytes: number;
+}
+
+/** Limits of a VM whose memory is not known. */
+export const NO_MEMORY_LIMITS: MemoryLimits = {
+  connectionBytes: Infinity,
+  serverBytes: Infinity,
+  vmBytes: Infinity,
+};
--- a/src/protocols/http/caller_connection.ts
+++ b/src/protocols/http/caller_connection.ts
@@ -30,6 +30,8 @@
   readonly request: http.IncomingMessage;
   readonly response: http.ServerResponse;
   readonly order: RequestOrder;
+  /** Identifies the connection among the open ones. */
+  readonly connection: string;
   /** Aborts when the caller disconnects. */
   readonly disconnected: AbortController;
 }
@@ -83,6 +85,7 @@
       request,
       response,
       order: this.#order,
+      connection: this.peer,
       disconnected: new AbortController(),
     };
     this.#open.add(read);
--- a/src/protocols/http/caller_exchange.ts
+++ b/src/protocols/http/caller_exchange.ts
@@ -40,6 +40,7 @@
   const sender = new ResponseSender(read, options.dialect);
   return {
     peer: request.socket.remoteAddress ?? "",
+    connection: read.connection,
     head: createHead(request, options),
     body: createIncomingBody(request, response, options),
     signal: read.disconnected.signal,
--- a/src/protocols/http/refusal_codec.ts
+++ b/src/protocols/http/refusal_codec.ts
@@ -74,6 +74,7 @@
     case RefusalKind.ConfigurationStale:
     case RefusalKind.ConfigurationMissing:
     case RefusalKind.QueueFull:
+    case RefusalKind.MemoryFull:
     case RefusalKind.Overloaded:
     case RefusalKind.Stopping:
     case RefusalKind.ShareMissing:
--- a/src/services/admission/mod.ts
+++ b/src/services/admission/mod.ts
@@ -208,6 +208,8 @@
    * refused may, since no server receives it.
    */
   isIdempotent(head: RequestHead): boolean {
+    // A request that waits for the first configuration may be of any kind.
+    if (this.#checkLoaded() !== undefined) return false;
     const path = parsePath(head.target);
     if (path === undefined) return true;
     const { routeTable } = this.#deps.configuration.state;
--- a/src/services/caller_front/caller_front_test.ts
+++ b/src/services/caller_front/caller_front_test.ts
@@ -12,6 +12,8 @@
 import type { Configuration } from "../configuration/mod.ts";
 import { FreshnessKind } from "../freshness/mod.ts";
 import type { Forwarding } from "../forwarding/mod.ts";
+import { MemoryBudget } from "../memory_budget/mod.ts";
+import { NO_MEMORY_LIMITS } from "../../model/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import type { Shutdown } from "../planned_stop/shutdown.ts";
 import type { CallerConnection, CallerExchange } from "./exchange.ts";
@@ -101,6 +103,13 @@
     clock,
     server: { listConnections: () => connections },
     admission: createAdmission(clock),
+    startup: { waitUntilServing: () => Promise.resolve() },
+    memory: new MemoryBudget({
+      clock,
+      limits: NO_MEMORY_LIMITS,
+      metrics: new Metrics(),
+      logger: SILENT_LOGGER,
+    }),
     forwarding: { serve } as unknown as Forwarding,
     metrics: new Metrics(),
     logger: SILENT_LOGGER,
--- a/src/services/caller_front/exchange.ts
+++ b/src/services/caller_front/exchange.ts
@@ -25,6 +25,8 @@
 export interface CallerExchange {
   /** Host of the caller, without the port. */
   readonly peer: string;
+  /** Identifies the caller's connection among the open ones. */
+  readonly connection: string;
   readonly head: RequestHead;
   readonly body: IncomingBody;
   /** Aborts when the caller disconnects. */
--- a/src/services/caller_front/mod.ts
+++ b/src/services/caller_front/mod.ts
@@ -9,6 +9,12 @@
 import type { Forwarding } from "../forwarding/mod.ts";
 import { formatCause } from "../logging/mod.ts";
 import type { LogFields, Logger } from "../logging/mod.ts";
+import {
+  Bound,
+  MemoryDecisionKind,
+  REQUEST_BYTES,
+} from "../memory_budget/mod.ts";
+import type { MemoryBudget } from "../memory_budget/mod.ts";
 import { LimitKind } from "../quota/team_limiter.ts";
 import type { TeamLimiter } from "../quota/team_limiter.ts";
 import { Counter } from "../metrics/mod.ts";
@@ -21,6 +27,8 @@
 } from "./exchange.ts";
 import { Concurrency, Pipeline } from "./pipeline.ts";
 
+/** Retry delay for a caller of a VM without memory; other VMs can serve it. */
+const MEMORY_RETRY_MS = 500;
 const ADDRESSES_TARGET = `${LOCAL_PATH_PREFIX}/addresses`;
 
 function isLocalTarget(target: string): boolean {
@@ -36,6 +44,7 @@
   readonly forwarding: Forwarding;
   readonly limiter: TeamLimiter;
   readonly addresses: AddressSelector;
+  readonly memory: MemoryBudget;
   readonly metrics: Metrics;
   readonly logger: Logger;
   /** Maximum number of requests of a connection that run at the same time. */
@@ -188,10 +197,30 @@
     exchange: CallerExchange,
     plan: RequestPlan,
   ): Promise<RunState | undefined> {
-    const { forwarding, metrics, clock } = this.#deps;
-    const refusal = await forwarding.serve(plan, exchange);
-    metrics.recordLatency(plan.route.id, clock.now() - plan.arrivedAt);
-    return refusal?.run;
+    const { forwarding, memory, metrics, clock } = this.#deps;
+    const decision = memory.acquire(
+      { kind: Bound.Connection, connection: exchange.connection },
+      REQUEST_BYTES,
+    );
+    switch (decision.kind) {
+      case MemoryDecisionKind.Full: {
+        const refusal = createRefusal(
+          RefusalKind.MemoryFull,
+          Step.Limit,
+          MEMORY_RETRY_MS,
+        );
+        await this.#refuse(exchange, refusal, plan, { bound: decision.bound });
+        return refusal.run;
+      }
+      case MemoryDecisionKind.Held:
+        try {
+          const refusal = await forwarding.serve(plan, exchange, decision.hold);
+          metrics.recordLatency(plan.route.id, clock.now() - plan.arrivedAt);
+          return refusal?.run;
+        } finally {
+          decision.hold.release();
+        }
+    }
   }
 
   /** Serves a request to the daemon itself, such as one for VM addresses. */
--- a/src/services/catalog.ts
+++ b/src/services/catalog.ts
@@ -33,6 +33,7 @@
 import type { Logging } from "./logging/mod.ts";
 import type { Membership } from "./membership/mod.ts";
 import type { PeerTransport, VmListClient } from "./membership/transport.ts";
+import type { MemoryBudget } from "./memory_budget/mod.ts";
 import type { Metrics } from "./metrics/mod.ts";
 import type { OperatorFront } from "./operator_front/mod.ts";
 import type { OperatorServer } from "./operator_front/mod.ts";
@@ -61,6 +62,7 @@
   Random = "random",
   Logging = "logging",
   Metrics = "metrics",
+  MemoryBudget = "memory_budget",
   LogClient = "log_client",
   Configuration = "configuration",
   PeerTransport = "peer_transport",
@@ -126,6 +128,7 @@
   [ServiceName.Random]: Random;
   [ServiceName.Logging]: Logging;
   [ServiceName.Metrics]: Metrics;
+  [ServiceName.MemoryBudget]: MemoryBudget;
   [ServiceName.LogClient]: LogClient;
   [ServiceName.Configuration]: Configuration;
   [ServiceName.PeerTransport]: PeerTransport;
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -1,4 +1,5 @@
 /** Sends a request to one server and checks the response. */
+import { REPLAYABLE_BODY_LIMIT_BYTES } from "../../constants.ts";
 import {
   FailureKind,
   Idempotency,
@@ -14,6 +15,8 @@
 import type { Dispatch } from "../dispatch/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import { Counter } from "../metrics/mod.ts";
+import { Bound, MemoryDecisionKind } from "../memory_budget/mod.ts";
+import type { MemoryBudget, MemoryHold } from "../memory_budget/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { Overload } from "../overload/mod.ts";
 import type { Selection } from "../selection/mod.ts";
@@ -31,6 +34,8 @@
   readonly body: RequestBody;
   /** Aborts when the caller disconnects or the deadline passes. */
   readonly signal: AbortSignal;
+  /** Bytes that this VM holds for the request. */
+  readonly hold: MemoryHold;
 }
 
 /** A server's response that may be forwarded to the caller. */
@@ -73,6 +78,7 @@
   readonly dispatch: Dispatch;
   readonly upstream: UpstreamClient;
   readonly metrics: Metrics;
+  readonly memory: MemoryBudget;
   readonly overload: Overload;
   readonly logger: Logger;
   /** Prefix of attempt ids, unique to this start of the daemon. */
@@ -108,7 +114,7 @@
           return await this.#deps.dispatch.runOnServer(
             server.id,
             () =>
-              this.#sendAttempt({ context, server, claim, signal, selectedAt }),
+              this.#sendBounded({ context, server, claim, signal, selectedAt }),
           );
         } finally {
           claim.release();
@@ -116,6 +122,25 @@
     }
   }
 
+  /** Sends an attempt unless its server has too many bytes of bodies already. */
+  async #sendBounded(selected: SelectedAttempt): Promise<AttemptResult> {
+    const { context, server } = selected;
+    const decision = this.#deps.memory.acquire(
+      { kind: Bound.Server, server: server.id },
+      context.body.length ?? REPLAYABLE_BODY_LIMIT_BYTES,
+    );
+    switch (decision.kind) {
+      case MemoryDecisionKind.Full:
+        return createUnsentResult(server, FailureKind.QueueFull);
+      case MemoryDecisionKind.Held:
+        try {
+          return await this.#sendAttempt(selected);
+        } finally {
+          decision.hold.release();
+        }
+    }
+  }
+
   async #sendAttempt(selected: SelectedAttempt): Promise<AttemptResult> {
     const { context, server, selectedAt } = selected;
     const { selection, detector, overload, clock, metrics } = this.#deps;
@@ -130,7 +155,7 @@
     const attempt = this.#createAttempt(selected);
     const outcome = await this.#deps.upstream.send(attempt);
     const result = outcome.kind === OutcomeKind.Responded
-      ? await checkResponse(attempt, outcome.response, clock)
+      ? await checkResponse(attempt, outcome.response, clock, context.hold)
       : outcome;
     const response = outcome.kind === OutcomeKind.Responded
       ? outcome.response
--- a/src/services/forwarding/attempt_runner_test.ts
+++ b/src/services/forwarding/attempt_runner_test.ts
@@ -14,6 +14,8 @@
 import { Configuration } from "../configuration/mod.ts";
 import type { Detector } from "../detector/mod.ts";
 import { Dispatch } from "../dispatch/mod.ts";
+import { MemoryBudget } from "../memory_budget/mod.ts";
+import { NO_MEMORY_LIMITS } from "../../model/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import { Selection } from "../selection/mod.ts";
 import { ServerNotices } from "../server_notices/mod.ts";
@@ -106,6 +108,12 @@
     }),
     dispatch: new Dispatch(),
     metrics,
+    memory: new MemoryBudget({
+      clock,
+      limits: NO_MEMORY_LIMITS,
+      metrics,
+      logger: SILENT_LOGGER,
+    }),
     logger,
     overload: { recordProcessingTime: () => {} },
     upstream: {
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -5,6 +5,8 @@
 import type { RequestPlan } from "../admission/mod.ts";
 import type { CallerExchange } from "../caller_front/exchange.ts";
 import { DispatchKind } from "../dispatch/mod.ts";
+import { UNBOUNDED_HOLD } from "../memory_budget/mod.ts";
+import type { MemoryHold } from "../memory_budget/mod.ts";
 import { OverloadKind } from "../overload/mod.ts";
 import type { Shutdown } from "../planned_stop/shutdown.ts";
 import type { Random } from "../random/mod.ts";
@@ -37,7 +39,8 @@
   }
 
   /**
-   * Serves one admitted request; responds to the caller exactly once.
+   * Serves one admitted request; responds to the caller exactly once. What is
+   * buffered for it is added to `hold`.
    *
    * Returns the refusal that the caller got, or undefined if a server's
    * response was forwarded.
@@ -45,6 +48,7 @@
   async serve(
     plan: RequestPlan,
     exchange: CallerExchange,
+    hold: MemoryHold = UNBOUNDED_HOLD,
   ): Promise<Refusal | undefined> {
     const controller = new AbortController();
     const waiting = new AbortController();
@@ -57,13 +61,13 @@
     exchange.signal.addEventListener("abort", abortRequest, { once: true });
     try {
       const { signal } = controller;
-      const body = await readRequestBody(exchange.body, waiting.signal);
+      const body = await readRequestBody(exchange.body, waiting.signal, hold);
       if (body === undefined) {
         const refusal = createWaitingRefusal(signal, Step.Body);
         return await this.#responder.refuse({ plan, exchange }, refusal);
       }
       return await this.#dispatchRequest(
-        { plan, exchange, body, signal },
+        { plan, exchange, body, signal, hold },
         waiting.signal,
       );
     } finally {
--- a/src/services/forwarding/refusals_test.ts
+++ b/src/services/forwarding/refusals_test.ts
@@ -28,6 +28,8 @@
 import { Dispatch } from "../dispatch/mod.ts";
 import { FreshnessKind } from "../freshness/mod.ts";
 import type { LogFields } from "../logging/mod.ts";
+import { MemoryBudget } from "../memory_budget/mod.ts";
+import { NO_MEMORY_LIMITS } from "../../model/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import { Overload } from "../overload/mod.ts";
 import { Shutdown } from "../planned_stop/shutdown.ts";
@@ -121,6 +123,12 @@
     }),
     dispatch: new Dispatch(),
     metrics,
+    memory: new MemoryBudget({
+      clock,
+      limits: NO_MEMORY_LIMITS,
+      metrics,
+      logger: SILENT_LOGGER,
+    }),
     overload,
     shutdown: new Shutdown({
       clock,
--- a/src/services/forwarding/request_body.ts
+++ b/src/services/forwarding/request_body.ts
@@ -1,6 +1,7 @@
 /** Body of a request, buffered so that a retry can send it again. */
 import { REPLAYABLE_BODY_LIMIT_BYTES } from "../../constants.ts";
 import type { IncomingBody } from "../caller_front/exchange.ts";
+import type { MemoryHold } from "../memory_budget/mod.ts";
 
 /** Kinds of {@linkcode BodyClaim}. */
 export enum BodyClaimKind {
@@ -39,13 +40,14 @@
 
 /**
  * Reads a body before a server is selected, so that no selected server waits
- * for a slow caller. Of a long body only the beginning is buffered and the rest
- * is streamed. Resolves to undefined if `signal` aborts first; throws if the
+ * for a slow caller. Of a long body, or if the memory budget allows no more,
+ * only the beginning is buffered and the rest is streamed. Resolves to undefined if `signal` aborts first; throws if the
  * caller disconnects before the body ends.
  */
 export async function readRequestBody(
   incoming: IncomingBody,
   signal: AbortSignal,
+  hold: MemoryHold,
 ): Promise<RequestBody | undefined> {
   if (incoming.length === 0) {
     return createBufferedBody(0, () => undefined);
@@ -62,6 +64,7 @@
     }
     buffered.push(next.value);
     length += next.value.length;
+    if (!hold.tryAdd(next.value.length)) break;
   }
   return new StreamedBody(incoming.length, buffered, reader);
 }
--- a/src/services/forwarding/request_body_test.ts
+++ b/src/services/forwarding/request_body_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { REPLAYABLE_BODY_LIMIT_BYTES } from "../../constants.ts";
+import { UNBOUNDED_HOLD } from "../memory_budget/mod.ts";
 import { BodyClaimKind, readRequestBody } from "./request_body.ts";
 import type { BodyClaim, RequestBody } from "./request_body.ts";
 
@@ -44,14 +45,18 @@
 const LONG_CHUNKS = REPLAYABLE_BODY_LIMIT_BYTES / CHUNK_BYTES + 5;
 
 async function readLongBody(length: number | undefined): Promise<RequestBody> {
-  const body = await readRequestBody({
-    length,
-    read: async function* () {
-      for (let index = 0; index < LONG_CHUNKS; index += 1) {
-        yield await Promise.resolve(new Uint8Array(CHUNK_BYTES));
-      }
+  const body = await readRequestBody(
+    {
+      length,
+      read: async function* () {
+        for (let index = 0; index < LONG_CHUNKS; index += 1) {
+          yield await Promise.resolve(new Uint8Array(CHUNK_BYTES));
+        }
+      },
     },
-  }, new AbortController().signal);
+    new AbortController().signal,
+    UNBOUNDED_HOLD,
+  );
   assert.ok(body);
   return body;
 }
@@ -64,6 +69,7 @@
   const reading = readRequestBody(
     { length: undefined, read: incoming.read },
     signal,
+    UNBOUNDED_HOLD,
   ).finally(() => isRead = true);
   await incoming.send(false);
   assert.equal(isRead, false);
--- a/src/services/forwarding/response_body.ts
+++ b/src/services/forwarding/response_body.ts
@@ -1,5 +1,7 @@
 /** Buffers short responses until they are complete and streams long ones. */
 import { BUFFERED_RESPONSE_LIMIT_BYTES } from "../../constants.ts";
+import { UNBOUNDED_HOLD } from "../memory_budget/mod.ts";
+import type { MemoryHold } from "../memory_budget/mod.ts";
 import { runWithTimeout, TIMED_OUT } from "../clock/mod.ts";
 import type { Clock } from "../clock/mod.ts";
 import { BodyError } from "./upstream.ts";
@@ -29,12 +31,14 @@
   };
 
 /**
- * Reads a body until it is complete or too long to be buffered.
+ * Reads a body until it is complete or too long to be buffered, or until the
+ * memory budget allows no more.
  *
  * Throws a {@linkcode BodyError} if it breaks off before that.
  */
 export async function readResponseBody(
   response: UpstreamResponse,
+  hold: MemoryHold,
 ): Promise<ResponseBody> {
   if (!response.hasBody) return { kind: ResponseBodyKind.None };
   const reader = response.readBody()[Symbol.asyncIterator]();
@@ -50,6 +54,7 @@
     }
     buffered.push(next.value);
     size += next.value.length;
+    if (!hold.tryAdd(next.value.length)) break;
   }
   return {
     kind: ResponseBodyKind.Streamed,
@@ -70,7 +75,7 @@
     const body = await runWithTimeout(
       clock,
       RELEASE_TIMEOUT_MS,
-      () => readResponseBody(response),
+      () => readResponseBody(response, UNBOUNDED_HOLD),
     );
     if (body === TIMED_OUT || body.kind === ResponseBodyKind.Streamed) {
       response.cancel();
--- a/src/services/forwarding/response_check.ts
+++ b/src/services/forwarding/response_check.ts
@@ -7,6 +7,8 @@
   releaseResponse,
   ResponseBodyKind,
 } from "./response_body.ts";
+import { UNBOUNDED_HOLD } from "../memory_budget/mod.ts";
+import type { MemoryHold } from "../memory_budget/mod.ts";
 import { BodyError } from "./upstream.ts";
 import type { Attempt, UpstreamResponse } from "./upstream.ts";
 
@@ -21,6 +23,7 @@
   attempt: Attempt,
   response: UpstreamResponse,
   clock: Clock,
+  hold: MemoryHold = UNBOUNDED_HOLD,
 ): Promise<AttemptResult> {
   const { server } = attempt;
   const peer = server.id;
@@ -54,7 +57,7 @@
     return createInvalidResult(attempt, response);
   }
   try {
-    const body = await readResponseBody(response);
+    const body = await readResponseBody(response, hold);
     // An unsigned error counts as the server's only if its body ends.
     if (response.isUnverified && body.kind === ResponseBodyKind.Streamed) {
       return createInvalidResult(attempt, response);
--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -22,6 +22,7 @@
   Refusals = "refusals",
   Pipelined = "pipelined",
   Dropped = "dropped",
+  MemoryBounds = "memory_bounds",
   ServerNotices = "server_notices",
   HandlerErrors = "handler_errors",
   UncaughtExceptions = "uncaught_exceptions",
@@ -45,6 +46,8 @@
   [Counter.UncaughtExceptions]: "Exceptions that no code caught.",
   [Counter.Pipelined]:
     "Requests read while others of their connection ran, by kind.",
+  [Counter.MemoryBounds]:
+    "Times that a bound of the memory budget was reached, by bound and effect.",
   [Counter.Dropped]:
     "Requests not run because their connection closed before their turn.",
   [Counter.Refusals]: "Requests refused without a server's response, by kind.",
--- a/src/settings/daemon_settings.ts
+++ b/src/settings/daemon_settings.ts
@@ -2,7 +2,12 @@
 import * as z from "zod";
 import { ADDRESS_TTL_MS, LOG_RETENTION_MS } from "../constants.ts";
 import { Backing, LogFormat, LogLevel } from "../model/mod.ts";
-import type { CellId, Incarnation, VmName } from "../model/mod.ts";
+import type {
+  CellId,
+  Incarnation,
+  MemoryLimits,
+  VmName,
+} from "../model/mod.ts";
 import {
   addressSchema,
   countSchema,
@@ -11,6 +16,7 @@
   listSchema,
   millisecondsSchema,
   nameSchema,
+  optionalCountSchema,
   positiveIntegerSchema,
   ratioSchema,
   ResolutionKind,
@@ -79,6 +85,8 @@
   readonly linkMbps: number;
   /** Maximum number of requests of a connection that run at the same time. */
   readonly pipelineLimit: number;
+  /** Limits on the data that is held for callers and servers. */
+  readonly memoryLimits: MemoryLimits;
   /** Least severe level that is logged. */
   readonly logLevel: LogLevel;
   /** Format of log lines. */
@@ -228,6 +236,26 @@
     schema: positiveIntegerSchema,
     fallback: "8",
   },
+  "memory-mb": {
+    description: "memory of this VM in MB; empty for no limits",
+    schema: optionalCountSchema,
+    fallback: "",
+  },
+  "memory-vm-bytes": {
+    description: "bytes held for all callers; default 1/4 of the memory",
+    schema: optionalCountSchema,
+    fallback: "",
+  },
+  "memory-connection-bytes": {
+    description: "bytes held for a connection; default 1/256 of the memory",
+    schema: optionalCountSchema,
+    fallback: "",
+  },
+  "memory-server-bytes": {
+    description: "bytes in flight to a server; default 1/32 of the memory",
+    schema: optionalCountSchema,
+    fallback: "",
+  },
   "settings": {
     description: "path of the platform's settings file; accepted but not read",
     schema: z.string(),
@@ -295,8 +323,25 @@
       cores: values["cores"],
       linkMbps: values["link-mbps"],
       pipelineLimit: values["pipeline-limit"],
+      memoryLimits: resolveMemoryLimits(values),
       logLevel: values["log-level"],
       logFormat: values["log-format"],
     }),
   };
 }
+
+/** Shares of a VM's memory that its limits are derived from. */
+const VM_SHARE = 1 / 4;
+const CONNECTION_SHARE = 1 / 256;
+const SERVER_SHARE = 1 / 32;
+const BYTES_PER_MB = 1_000_000;
+
+function resolveMemoryLimits(values: FlagValues): MemoryLimits {
+  const bytes = (values["memory-mb"] ?? Infinity) * BYTES_PER_MB;
+  return {
+    vmBytes: values["memory-vm-bytes"] ?? bytes * VM_SHARE,
+    connectionBytes: values["memory-connection-bytes"] ??
+      bytes * CONNECTION_SHARE,
+    serverBytes: values["memory-server-bytes"] ?? bytes * SERVER_SHARE,
+  };
+}
--- a/src/settings/flags.ts
+++ b/src/settings/flags.ts
@@ -118,6 +118,11 @@
   .regex(/^\d{1,6}$/, "must be a positive integer")
   .transform(Number).pipe(z.number().min(1));
 
+/** Parses a non-negative number; undefined if the text is empty. */
+export const optionalCountSchema: z.ZodType<number | undefined> = z.string()
+  .regex(/^(\d*\.?\d+)?$/, "must be a non-negative number")
+  .transform((text) => text === "" ? undefined : Number(text));
+
 /** Returns the name of the environment variable for the flag `name`. */
 export function formatVariable(name: string): string {
   return `${ENVIRONMENT_PREFIX}_${name.replaceAll("-", "_").toUpperCase()}`;
