Bound the unread and the unsent messages of a link between VMs

Cause: a link stored all messages that its reader had not handled, and all that its peer had not read.

Change: above 1 MiB of unread messages the link is not read; above 32 MiB of unsent ones it is closed, logged and counted as a handler error.

--- a/src/protocols/peer/ws_transport.ts
+++ b/src/protocols/peer/ws_transport.ts
@@ -19,6 +19,16 @@
 }
 
 const MAX_MESSAGE_BYTES = 16_777_216;
+/**
+ * Bytes of received messages beyond which a link is not read until they are
+ * handled. The messages of a few seconds take some kilobytes.
+ */
+const UNREAD_LIMIT_BYTES = 1_048_576;
+/**
+ * Bytes waiting to be sent beyond which a link is closed, since its peer reads
+ * too slowly. The largest list of servers takes about half of it.
+ */
+const UNSENT_LIMIT_BYTES = 2 * MAX_MESSAGE_BYTES;
 /** Size of the frame header of a short message (up to 125 bytes). */
 const FRAME_HEADER_BYTES = 2;
 /** Size of the mask that a client adds to each frame. */
@@ -30,12 +40,21 @@
   sentMessages: number;
 }
 
+/** A received message and its size. */
+interface ReceivedMessage<Message> {
+  readonly message: Message;
+  readonly bytes: number;
+}
+
 /** A WebSocket connection to one peer. */
 class WebSocketConnection<Message> implements PeerConnection<Message> {
   readonly #socket: WebSocket;
   readonly #counts: TrafficCounts;
   readonly #codec: MessageCodec<Message>;
-  readonly #received = new Channel<Message>();
+  readonly #boundary: HandlerBoundary;
+  readonly #peer: string;
+  readonly #received = new Channel<ReceivedMessage<Message>>();
+  #unreadBytes = 0;
   readonly #overheadBytes: number;
 
   constructor(
@@ -49,6 +68,8 @@
     this.#socket = socket;
     this.#codec = codec;
     this.#counts = counts;
+    this.#boundary = boundary;
+    this.#peer = peer;
     this.#overheadBytes = FRAME_HEADER_BYTES + (isClient ? MASK_BYTES : 0);
     socket.on("message", (data) => {
       boundary.run(
@@ -63,14 +84,21 @@
 
   send(message: Message): void {
     if (this.#socket.readyState !== WebSocket.OPEN) return;
+    if (this.#socket.bufferedAmount > UNSENT_LIMIT_BYTES) {
+      return this.#closeSlow(new Error("the peer reads too slowly"));
+    }
     const bytes = this.#codec.encode(message);
     this.#counts.sentBytes += bytes.length + this.#overheadBytes;
     this.#counts.sentMessages += 1;
     this.#socket.send(bytes);
   }
 
-  listMessages(): AsyncIterable<Message> {
-    return this.#received;
+  async *listMessages(): AsyncGenerator<Message, void, undefined> {
+    for await (const { message, bytes } of this.#received) {
+      this.#unreadBytes -= bytes;
+      if (this.#unreadBytes <= UNREAD_LIMIT_BYTES) this.#socket.resume();
+      yield message;
+    }
   }
 
   close(): void {
@@ -81,7 +109,19 @@
   #handleMessage(bytes: Uint8Array): void {
     this.#counts.receivedBytes += bytes.length + FRAME_HEADER_BYTES;
     const message = this.#codec.decode(bytes);
-    if (message !== undefined) this.#received.send(message);
+    if (message === undefined) return;
+    this.#unreadBytes += bytes.length;
+    this.#received.send({ message, bytes: bytes.length });
+    if (this.#unreadBytes > UNREAD_LIMIT_BYTES) this.#socket.pause();
+  }
+
+  /** Closes the link because of its peer; the boundary logs and counts it. */
+  #closeSlow(cause: Error): void {
+    this.#boundary.run(
+      this.#peer,
+      () => Promise.reject(cause),
+      () => this.close(),
+    );
   }
 }
 
