--- a/src/daemon/wiring/callers.ts
+++ b/src/daemon/wiring/callers.ts
@@ -22,17 +22,19 @@
 ): void {
   kernel.add(createServiceDefinition({
     name: ServiceName.CallerServer,
-    dependencies: [ServiceName.Settings],
+    dependencies: [ServiceName.Settings, ServiceName.Clock],
     create: (find, scope) =>
-      createHttpCallerServer(
-        find(ServiceName.Settings).callerListen,
+      createHttpCallerServer({
+        address: find(ServiceName.Settings).callerListen,
         dialect,
-        scope.createBoundary(),
-      ),
+        boundary: scope.createBoundary(),
+        clock: find(ServiceName.Clock),
+      }),
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.CallerFront,
     dependencies: [
+      ServiceName.Settings,
       ServiceName.Clock,
       ServiceName.CallerServer,
       ServiceName.Configuration,
@@ -42,6 +44,7 @@
       ServiceName.TeamLimiter,
       ServiceName.Addresses,
       ServiceName.Metrics,
+      ServiceName.MemoryBudget,
       ServiceName.Logging,
     ],
     create: (find, scope) => {
@@ -56,7 +59,9 @@
         limiter: find(ServiceName.TeamLimiter),
         addresses: find(ServiceName.Addresses),
         metrics: find(ServiceName.Metrics),
+        memory: find(ServiceName.MemoryBudget),
         logger,
+        pipelineLimit: find(ServiceName.Settings).pipelineLimit,
       });
       const configuration = find(ServiceName.Configuration);
       configuration.addListener(() => {
--- a/src/services/caller_front/mod.ts
+++ b/src/services/caller_front/mod.ts
@@ -11,6 +11,12 @@
 import type { RequestWait } from "../forwarding/request_wait.ts";
 import { formatCause } from "../logging/mod.ts";
 import type { LogFields, Logger } from "../logging/mod.ts";
+import {
+  Bound,
+  MemoryDecisionKind,
+  REQUEST_BYTES,
+} from "../memory_budget/mod.ts";
+import type { MemoryBudget } from "../memory_budget/mod.ts";
 import { LimitKind } from "../quota/team_limiter.ts";
 import type { TeamLimiter } from "../quota/team_limiter.ts";
 import { Counter } from "../metrics/mod.ts";
@@ -21,7 +27,10 @@
   CallerExchange,
   CallerServer,
 } from "./exchange.ts";
+import { Concurrency, Pipeline } from "./pipeline.ts";
 
+/** Retry delay for a caller of a VM without memory; other VMs can serve it. */
+const MEMORY_RETRY_MS = 500;
 const ADDRESSES_TARGET = `${LOCAL_PATH_PREFIX}/addresses`;
 
 function isLocalTarget(target: string): boolean {
@@ -37,8 +46,11 @@
   readonly forwarding: Forwarding;
   readonly limiter: TeamLimiter;
   readonly addresses: AddressSelector;
+  readonly memory: MemoryBudget;
   readonly metrics: Metrics;
   readonly logger: Logger;
+  /** Maximum number of requests of a connection that run at the same time. */
+  readonly pipelineLimit: number;
 }
 
 /** Admits callers' requests and forwards them within their teams' limits. */
@@ -69,15 +81,47 @@
 
   async #serveConnection(connection: CallerConnection): Promise<void> {
     this.#openConnections += 1;
+    const pipeline = new Pipeline(this.#deps.pipelineLimit);
     try {
       for await (const exchange of connection.listExchanges()) {
-        await this.#serveExchange(exchange);
+        const concurrency = this.#getConcurrency(exchange);
+        if (!await this.#waitForTurn(pipeline, exchange, concurrency)) break;
+        pipeline.start(concurrency, () => this.#serveExchange(exchange));
       }
+      await pipeline.waitForAll();
     } finally {
       this.#openConnections -= 1;
     }
   }
 
+  /** Waits for a request's turn; false if the connection closes before it. */
+  async #waitForTurn(
+    pipeline: Pipeline,
+    exchange: CallerExchange,
+    concurrency: Concurrency,
+  ): Promise<boolean> {
+    const { metrics, logger } = this.#deps;
+    if (pipeline.running > 0) metrics.add(Counter.Pipelined, concurrency);
+    await pipeline.waitForTurn(concurrency);
+    if (exchange.signal.aborted) return false;
+    if (exchange.tryPassOn()) return true;
+    // The connection is closing; only a request that follows none may start.
+    await pipeline.waitForAll();
+    if (exchange.tryPassOn()) return true;
+    metrics.add(Counter.Dropped);
+    logger.info("dropped a request behind a response that closes", {
+      request: exchange.head.attempt ?? "",
+      peer: exchange.peer,
+    });
+    return false;
+  }
+
+  #getConcurrency({ head }: CallerExchange): Concurrency {
+    return isLocalTarget(head.target) || this.#deps.admission.isIdempotent(head)
+      ? Concurrency.Shared
+      : Concurrency.Exclusive;
+  }
+
   async #serveExchange(exchange: CallerExchange): Promise<void> {
     try {
       await this.#runExchange(exchange);
@@ -179,10 +223,35 @@
     plan: RequestPlan,
     wait: RequestWait,
   ): Promise<RunState | undefined> {
-    const { forwarding, metrics, clock } = this.#deps;
-    const refusal = await forwarding.serve(plan, exchange, wait);
-    metrics.recordLatency(plan.route.id, clock.now() - plan.arrivedAt);
-    return refusal?.run;
+    const { forwarding, memory, metrics, clock } = this.#deps;
+    const decision = memory.acquire(
+      { kind: Bound.Connection, connection: exchange.connection },
+      REQUEST_BYTES,
+    );
+    switch (decision.kind) {
+      case MemoryDecisionKind.Full: {
+        const refusal = createRefusal(
+          RefusalKind.MemoryFull,
+          Step.Limit,
+          MEMORY_RETRY_MS,
+        );
+        await this.#refuse(exchange, refusal, plan, { bound: decision.bound });
+        return refusal.run;
+      }
+      case MemoryDecisionKind.Held:
+        try {
+          const refusal = await forwarding.serve(
+            plan,
+            exchange,
+            wait,
+            decision.hold,
+          );
+          metrics.recordLatency(plan.route.id, clock.now() - plan.arrivedAt);
+          return refusal?.run;
+        } finally {
+          decision.hold.release();
+        }
+    }
   }
 
   /** Serves a request to the daemon itself, such as one for VM addresses. */
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -1,4 +1,5 @@
 /** Sends a request to one server and checks the response. */
+import { REPLAYABLE_BODY_LIMIT_BYTES } from "../../constants.ts";
 import {
   FailureKind,
   Idempotency,
@@ -15,6 +16,8 @@
 import type { Dispatch } from "../dispatch/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import { Counter } from "../metrics/mod.ts";
+import { Bound, MemoryDecisionKind } from "../memory_budget/mod.ts";
+import type { MemoryBudget, MemoryHold } from "../memory_budget/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { Overload } from "../overload/mod.ts";
 import type { Selection } from "../selection/mod.ts";
@@ -36,6 +39,8 @@
   readonly signal: AbortSignal;
   /** Aborts with `signal`, and when this VM stops. */
   readonly waitSignal: AbortSignal;
+  /** Bytes that this VM holds for the request. */
+  readonly hold: MemoryHold;
 }
 
 /** A server's response that may be forwarded to the caller. */
@@ -81,6 +86,7 @@
   readonly dispatch: Dispatch;
   readonly upstream: UpstreamClient;
   readonly metrics: Metrics;
+  readonly memory: MemoryBudget;
   readonly overload: Overload;
   readonly logger: Logger;
   /** Prefix of attempt ids, unique to this start of the daemon. */
@@ -133,7 +139,7 @@
     const result = await this.#deps.dispatch.runOnServer(
       server,
       waitSignal,
-      () => this.#sendAttempt(selected),
+      () => this.#sendBounded(selected),
     );
     switch (result.kind) {
       case DispatchKind.Ran:
@@ -155,6 +161,25 @@
     });
   }
 
+  /** Sends an attempt unless its server has too many bytes of bodies already. */
+  async #sendBounded(selected: SelectedAttempt): Promise<AttemptResult> {
+    const { context, server } = selected;
+    const decision = this.#deps.memory.acquire(
+      { kind: Bound.Server, server: server.id },
+      context.body.length ?? REPLAYABLE_BODY_LIMIT_BYTES,
+    );
+    switch (decision.kind) {
+      case MemoryDecisionKind.Full:
+        return createUnsentResult(server, FailureKind.QueueFull);
+      case MemoryDecisionKind.Held:
+        try {
+          return await this.#sendAttempt(selected);
+        } finally {
+          decision.hold.release();
+        }
+    }
+  }
+
   async #sendAttempt(selected: SelectedAttempt): Promise<AttemptResult> {
     const { context, server, selectedAt } = selected;
     const { selection, detector, overload, clock, metrics } = this.#deps;
@@ -170,7 +195,7 @@
     const attempt = this.#createAttempt(selected, permit);
     const outcome = await this.#deps.upstream.send(attempt);
     const result = outcome.kind === OutcomeKind.Responded
-      ? await checkResponse(attempt, outcome.response, clock)
+      ? await checkResponse(attempt, outcome.response, clock, context.hold)
       : outcome;
     const response = outcome.kind === OutcomeKind.Responded
       ? outcome.response
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -5,6 +5,8 @@
 import type { RequestPlan } from "../admission/mod.ts";
 import type { CallerExchange } from "../caller_front/exchange.ts";
 import { DispatchKind } from "../dispatch/mod.ts";
+import { UNBOUNDED_HOLD } from "../memory_budget/mod.ts";
+import type { MemoryHold } from "../memory_budget/mod.ts";
 import { OverloadKind } from "../overload/mod.ts";
 import type { Shutdown } from "../planned_stop/shutdown.ts";
 import type { Random } from "../random/mod.ts";
@@ -51,6 +53,7 @@
 
   /**
    * Serves one admitted request; responds to the caller exactly once.
+   * What is buffered for it is added to `hold`.
    *
    * Returns the refusal that the caller got, or undefined if a server's
    * response was forwarded.
@@ -59,9 +62,10 @@
     plan: RequestPlan,
     exchange: CallerExchange,
     wait: RequestWait,
+    hold: MemoryHold = UNBOUNDED_HOLD,
   ): Promise<Refusal | undefined> {
     const { signal, waitSignal } = wait;
-    const body = await readRequestBody(exchange.body, waitSignal);
+    const body = await readRequestBody(exchange.body, waitSignal, hold);
     if (body === undefined) {
       const refusal = createWaitingRefusal(signal, Step.Body);
       return await this.#responder.refuse({ plan, exchange }, refusal);
@@ -72,6 +76,7 @@
       body,
       signal,
       waitSignal,
+      hold,
     });
   }
 
--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -20,6 +20,9 @@
   StoreReads = "store_reads",
   StoreEras = "store_eras",
   Refusals = "refusals",
+  Pipelined = "pipelined",
+  Dropped = "dropped",
+  MemoryBounds = "memory_bounds",
   ServerNotices = "server_notices",
   ColdServers = "cold_servers",
   WarmUpPermits = "warm_up_permits",
@@ -47,6 +50,12 @@
   [Counter.HandlerErrors]:
     "Errors of listeners while they handled input, by service.",
   [Counter.UncaughtExceptions]: "Exceptions that no code caught.",
+  [Counter.Pipelined]:
+    "Requests read while others of their connection ran, by kind.",
+  [Counter.MemoryBounds]:
+    "Times that a bound of the memory budget was reached, by bound and effect.",
+  [Counter.Dropped]:
+    "Requests not run because their connection closed before their turn.",
   [Counter.Refusals]: "Requests refused without a server's response, by kind.",
 };
 
