Soak with restores of the store; split the registry and the simulated topics

Cause: nothing exercised restores with real daemons, and server_registry.ts and feed_world.ts had grown beyond one job.

Tombstones and retained servers have modules of their own; so have the simulated topics.

--- a/scripts/platform_fleet.ts
+++ b/scripts/platform_fleet.ts
@@ -84,6 +84,11 @@
   announceServer(index: number, state: "ready" | "draining"): void;
   /** Removes a server's entry and stops renewing it. */
   removeServer(index: number): void;
+  /**
+   * Replaces the store's content by a copy that is `ageMs` old. The operator and
+   * the servers write again what it lacks after `rewriteMs`.
+   */
+  restoreStore(ageMs: number, rewriteMs: number): Promise<void>;
   /** Starts a VM's daemon again, on the same ports. */
   startVm(vm: PlatformVm): void;
   /** Stops everything. */
@@ -140,6 +145,12 @@
   };
   for (const vm of vms) startVm(vm);
   let version = 0;
+  let newestTeams: readonly TeamConfig[] | undefined;
+  const writeConfiguration = (): void => {
+    if (newestTeams === undefined) return;
+    const configuration = createConfiguration(version, newestTeams);
+    store.put("keyed.op", "config", configuration);
+  };
   return {
     group,
     store,
@@ -147,7 +158,14 @@
     vms,
     publish: (teams) => {
       version += 3;
-      store.put("keyed.op", "config", createConfiguration(version, teams));
+      newestTeams = teams;
+      writeConfiguration();
+    },
+    restoreStore: async (ageMs, rewriteMs) => {
+      store.restoreCopy(ageMs);
+      await new Promise((resolve) => setTimeout(resolve, rewriteMs));
+      writeConfiguration();
+      registry.writeRemovals();
     },
     announceServer: registry.announce,
     removeServer: registry.remove,
@@ -171,6 +189,8 @@
 interface Registry {
   announce(index: number, state: "ready" | "draining"): void;
   remove(index: number): void;
+  /** Removes the entries of servers that are away once more. */
+  writeRemovals(): void;
   stop(): void;
 }
 
@@ -207,6 +227,10 @@
       states[index] = undefined;
       store.remove("keyed.servers", `i-${index}`);
     },
+    writeRemovals: () =>
+      states.forEach((state, index) => {
+        if (state === undefined) store.remove("keyed.servers", `i-${index}`);
+      }),
     stop: () => clearInterval(timer),
   };
 }
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -28,6 +28,8 @@
   DropHistory = "forget",
   /** A backend server misbehaves for a while. */
   Server = "server",
+  /** The store is restored from an old copy; see restores.ts. */
+  Restore = "restore",
 }
 
 /** An injected fault, for the checks and the report. */
@@ -57,6 +59,9 @@
 const FAULT_MIN_MS = 200;
 /** Maximum duration of a fault, in milliseconds. */
 const FAULT_MAX_MS = 7_000;
+/** Kinds to choose from; restores have a seed of their own. */
+const RANDOM_KINDS = Object.values(FaultKind)
+  .filter((kind) => kind !== FaultKind.Restore);
 const SERVER_MODES = Object.values(ServerMode);
 const STORE_MODES = Object.values(StoreMode);
 const PROXY_MODES = Object.values(ProxyMode);
@@ -72,7 +77,7 @@
   const { random, meanIntervalMs } = options;
   const running = new Set<Promise<void>>();
   while (!signal.aborted) {
-    const kind = pickOne(Object.values(FaultKind), random);
+    const kind = pickOne(RANDOM_KINDS, random);
     const durationMs = FAULT_MIN_MS +
       random() * (FAULT_MAX_MS - FAULT_MIN_MS);
     const fault = runFault(options, kind, durationMs)
@@ -136,6 +141,8 @@
       record.endedAt = performance.now();
       return;
     }
+    case FaultKind.Restore:
+      return;
     case FaultKind.DropHistory:
       fleet.store.removeHistory();
       addRecord("store").endedAt = performance.now();
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -17,6 +17,7 @@
 import type { FaultRecord } from "./faults.ts";
 import { runDepartures } from "./departures.ts";
 import type { DepartureRecord } from "./departures.ts";
+import { runRestores } from "./restores.ts";
 import { listViolations } from "./invariants.ts";
 import { REGRESSION_SEEDS } from "./regressions.ts";
 
@@ -51,6 +52,8 @@
 const STICKY_CALLER_INTERVAL = 3;
 /** Added to the seed for departures: they don't alter the faults of a seed. */
 const DEPARTURE_SEED_OFFSET = 1_000_000;
+/** The same for restores of the store. */
+const RESTORE_SEED_OFFSET = 2_000_000;
 
 /** Options of one run. */
 interface SoakOptions {
@@ -132,6 +135,14 @@
       },
       ended.signal,
     );
+    const restores = runRestores(
+      {
+        fleet,
+        random: createSeededRandom(seed + RESTORE_SEED_OFFSET),
+        records: faultRecords,
+      },
+      ended.signal,
+    );
     const withdrawnAt = new Map<string, number>();
     const pauses: Promise<void>[] = [];
     for (const [index, share] of WITHDRAWAL_SHARES.entries()) {
@@ -143,7 +154,7 @@
     }
     await waitUntilShare(1);
     ended.abort();
-    await Promise.all([faults, departures, ...pauses]);
+    await Promise.all([faults, departures, restores, ...pauses]);
     const records = (await Promise.all(callers)).flat();
     const recovery = await checkRecovery(fleet);
     const maxPerWindow = computeMaxPerWindow(fleet.vms.length);
--- a/src/services/feed/server_registry.ts
+++ b/src/services/feed/server_registry.ts
@@ -4,6 +4,7 @@
 import type { Configuration } from "../configuration/mod.ts";
 import { computeHash } from "../hashing/mod.ts";
 import type { Logger } from "../logging/mod.ts";
+import { MissingCause, MissingServers } from "./missing_servers.ts";
 import { ServerOrigin, ServerUpdateKind } from "./source.ts";
 import type {
   ServerEntry,
@@ -11,46 +12,17 @@
   ServerUpdate,
   ServerVersion,
 } from "./source.ts";
+import { isNewer, isRemovedAfter, Tombstones } from "./tombstones.ts";
+import type { ServerTombstone } from "./tombstones.ts";
+
+export type { ServerTombstone } from "./tombstones.ts";
 
-/**
- * Time after an outage or a restore of the store in which a missing entry may
- * be written again; the platform guarantees about two seconds.
- */
-const EXPIRY_GRACE_MS = 2_200;
 /**
  * Minimum share of a service's servers whose entries must be missing together
  * for an outage of the store to be the likely cause. If the store rejected only
  * this VM, the few servers that left meanwhile must be removed at once.
  */
 const OUTAGE_RATIO_MIN = 0.5;
-/** Maximum number of tombstones, by which late entries are rejected. */
-const MAX_TOMBSTONES = 10_000;
-/** Number of tombstones sent with a list: those of the last minutes. */
-const RECENT_TOMBSTONES = 200;
-
-/** Tombstone of a server: its newest version and the offset of its removal. */
-export interface ServerTombstone extends ServerVersion {
-  readonly id: ServerId;
-  readonly offset: Offset;
-}
-
-/** Why the entry of a server that is retained may be missing. */
-enum MissingCause {
-  /** It expired while the server could not reach the store. */
-  Outage = "outage",
-  /** The store was restored from a copy that did not contain it. */
-  NewEra = "new_era",
-}
-
-/** A server that is retained for a grace period although its entry expired. */
-interface ExpiredServer {
-  readonly cause: MissingCause;
-  /** Offset at which the entry was found missing. */
-  readonly offset: Offset;
-  /** Monotonic time at which the server is removed, in milliseconds. */
-  readonly until: number;
-}
-
 /** Receives each change that took effect, to relay it. */
 export interface RegistryListener {
   /** A server was set. */
@@ -78,15 +50,11 @@
 export class ServerRegistry {
   readonly #deps: ServerRegistryDependencies;
   readonly #listed = new Map<ServerId, ServerListing>();
-  readonly #tombstones = new Map<ServerId, ServerTombstone>();
-  readonly #expired = new Map<ServerId, ExpiredServer>();
+  readonly #tombstones = new Tombstones();
+  readonly #missing = new MissingServers();
   /** Exclusive or of the entries' hashes, updated with each change. */
   #digest = 0;
   #offset: Offset = -1;
-  /** Monotonic time until which a missing entry may be due to an outage. */
-  #graceUntil = -Infinity;
-  /** The same for a restore of the store. */
-  #eraGraceUntil = -Infinity;
   #listener: RegistryListener | undefined;
 
   /** Creates an empty registry. */
@@ -106,7 +74,7 @@
 
   /** Lists the newest removals, which another VM may not know. */
   listRecentTombstones(): ServerTombstone[] {
-    return [...this.#tombstones.values()].slice(-RECENT_TOMBSTONES);
+    return this.#tombstones.listRecent();
   }
 
   /** Sets the listener of changes. */
@@ -136,11 +104,7 @@
 
   /** Records that a read of the store succeeded after an outage. */
   recordOutageEnd(now: number): void {
-    const until = now + EXPIRY_GRACE_MS;
-    this.#graceUntil = until;
-    for (const [id, expired] of this.#expired) {
-      this.#expired.set(id, { ...expired, until });
-    }
+    this.#missing.start(MissingCause.Outage, now);
   }
 
   /**
@@ -168,8 +132,9 @@
           break;
         case ServerOrigin.HubList:
           // A hub that started in this era may not know the server yet.
-          if (now < this.#eraGraceUntil) this.#handleMissing(id, offset, now);
-          else this.#removeMissing(id, entry, offset, origin);
+          if (this.#missing.isGrace(MissingCause.NewEra, now)) {
+            this.#handleMissing(id, offset, now);
+          } else this.#removeMissing(id, entry, offset, origin);
           break;
       }
     }
@@ -177,7 +142,7 @@
       this.#setListed(listing, offset, now, origin);
     }
     const contradicted = listings
-      .map(({ entry }) => this.#tombstones.get(entry.server.id))
+      .map(({ entry }) => this.#tombstones.find(entry.server.id))
       .filter((tombstone) => tombstone !== undefined);
     if (offset < this.#offset) return contradicted;
     this.#offset = offset;
@@ -191,8 +156,8 @@
       this.#deps.configuration.removeServer(id);
     }
     this.#listed.clear();
-    this.#tombstones.clear();
-    this.#expired.clear();
+    this.#tombstones.removeAll();
+    this.#missing.removeAll();
     this.#digest = 0;
     this.#offset = -1;
   }
@@ -230,7 +195,7 @@
 
   /** Whether servers are retained although their entries expired. */
   get hasExpired(): boolean {
-    return this.#expired.size > 0;
+    return this.#missing.size > 0;
   }
 
   /**
@@ -239,8 +204,10 @@
    */
   removeFewExpired(): void {
     const known = this.#countByService(this.#listed.keys());
-    const expired = this.#countByService(this.#expired.keys());
-    for (const [id, { cause, offset }] of [...this.#expired]) {
+    const expired = this.#countByService(
+      this.#missing.list().map(({ id }) => id),
+    );
+    for (const { id, cause, offset } of this.#missing.list()) {
       const entry = this.#listed.get(id)?.entry;
       if (entry === undefined || cause === MissingCause.NewEra) continue;
       const { service } = entry.server;
@@ -262,7 +229,7 @@
 
   /** Removes expired servers whose grace period has ended. */
   removeExpired(now: number): void {
-    for (const [id, { until, offset }] of [...this.#expired]) {
+    for (const { id, until, offset } of this.#missing.list()) {
       const entry = this.#listed.get(id)?.entry;
       if (now < until || entry === undefined) continue;
       this.#removeMissing(id, entry, offset, ServerOrigin.Outage);
@@ -281,13 +248,13 @@
     const { id } = entry.server;
     const earlier = this.#listed.get(id);
     if (!this.#hasNewState(listing, knownUpTo)) {
-      this.#confirmExpired(listing, earlier);
+      this.#removeConfirmed(listing, earlier);
       return;
     }
     this.#replaceInDigest(earlier?.entry, entry);
     this.#listed.set(id, listing);
-    this.#tombstones.delete(id);
-    this.#expired.delete(id);
+    this.#tombstones.remove(id);
+    this.#missing.remove(id);
     const known = configuration.state.servers.get(id);
     const isSameStart = earlier?.entry.startedAt === entry.startedAt;
     if (
@@ -318,9 +285,9 @@
     const { id, offset } = tombstone;
     const listing = this.#listed.get(id);
     if (listing === undefined) {
-      const known = this.#tombstones.get(id);
+      const known = this.#tombstones.find(id);
       const isNew = known === undefined || isNewer(tombstone, known);
-      if (isNew) this.#addTombstone(tombstone);
+      if (isNew) this.#tombstones.set(tombstone);
       return;
     }
     if (!isRemovedAfter(tombstone, listing)) return;
@@ -328,19 +295,13 @@
     this.#removeMissing(id, last, offset, origin);
   }
 
-  #addTombstone(tombstone: ServerTombstone): void {
-    this.#tombstones.delete(tombstone.id);
-    this.#tombstones.set(tombstone.id, tombstone);
-    this.#removeOldestTombstone();
-  }
-
   /** Ends the grace period of a server whose entry was found again. */
-  #confirmExpired(listing: ServerListing, known?: ServerListing): void {
+  #removeConfirmed(listing: ServerListing, known?: ServerListing): void {
     const { id } = listing.entry.server;
-    const expired = this.#expired.get(id);
-    if (expired === undefined || known === undefined) return;
-    if (listing.offset <= expired.offset) return;
-    if (!isNewer(known.entry, listing.entry)) this.#expired.delete(id);
+    const missing = this.#missing.find(id);
+    if (missing === undefined || known === undefined) return;
+    if (listing.offset <= missing.offset) return;
+    if (!isNewer(known.entry, listing.entry)) this.#missing.remove(id);
   }
 
   /** Records that all records up to `offset` are known. */
@@ -353,12 +314,7 @@
   #recordEra(offset: Offset, now: number): void {
     const isFirst = this.#offset === -1;
     if (isFirst || getEndEra(offset) <= getEndEra(this.#offset)) return;
-    const until = now + EXPIRY_GRACE_MS;
-    this.#eraGraceUntil = until;
-    for (const [id, expired] of this.#expired) {
-      const cause = MissingCause.NewEra;
-      this.#expired.set(id, { ...expired, cause, until });
-    }
+    this.#missing.start(MissingCause.NewEra, now);
   }
 
   /** Whether an entry is newer than what is known of its server. */
@@ -366,7 +322,7 @@
     const { id } = entry.server;
     const listed = this.#listed.get(id);
     if (listed !== undefined) return isNewer(entry, listed.entry);
-    const tombstone = this.#tombstones.get(id);
+    const tombstone = this.#tombstones.find(id);
     if (tombstone !== undefined) {
       return offset > tombstone.offset && isNewer(entry, tombstone);
     }
@@ -383,15 +339,8 @@
     if (listing === undefined || listing.offset > offset) return;
     const { entry } = listing;
     const isActive = entry.server.phase === ServerPhase.Active;
-    const until = Math.max(this.#graceUntil, this.#eraGraceUntil);
-    if (!isActive || now >= until) {
-      return this.#removeMissing(id, entry, offset, ServerOrigin.Store);
-    }
-    if (this.#expired.has(id)) return;
-    const cause = now < this.#eraGraceUntil
-      ? MissingCause.NewEra
-      : MissingCause.Outage;
-    this.#expired.set(id, { cause, offset, until });
+    if (isActive && this.#missing.tryAdd(id, offset, now)) return;
+    this.#removeMissing(id, entry, offset, ServerOrigin.Store);
   }
 
   /** Removes a server and adds a tombstone with its `last` version. */
@@ -402,15 +351,13 @@
     origin: ServerOrigin,
   ): void {
     const entry = this.#listed.get(id)?.entry;
-    const reason = this.#expired.has(id)
-      ? "missing after an outage"
-      : "removed";
+    const reason = this.#missing.find(id)?.cause ?? "removed";
     const { startedAt, sequence } = last;
     const tombstone = { id, offset, startedAt, sequence };
     this.#listed.delete(id);
     this.#replaceInDigest(entry, undefined);
-    this.#expired.delete(id);
-    this.#addTombstone(tombstone);
+    this.#missing.remove(id);
+    this.#tombstones.set(tombstone);
     this.#deps.configuration.removeServer(id);
     this.#listener?.recordRemoved(tombstone);
     this.#deps.logger.info("a server's entry was removed", {
@@ -432,12 +379,6 @@
     if (before !== undefined) this.#digest ^= computeHash(before);
     if (after !== undefined) this.#digest ^= computeHash(after);
   }
-
-  #removeOldestTombstone(): void {
-    if (this.#tombstones.size <= MAX_TOMBSTONES) return;
-    const oldest = this.#tombstones.keys().next();
-    if (!oldest.done) this.#tombstones.delete(oldest.value);
-  }
 }
 
 /**
@@ -448,34 +389,12 @@
   return getEra(offset + 1);
 }
 
-/**
- * Whether a removal is newer than an entry. Their positions tell that only
- * within an era: a restored store lists again what was removed before.
- */
-function isRemovedAfter(
-  tombstone: ServerTombstone,
-  { entry, offset }: ServerListing,
-): boolean {
-  if (getEra(tombstone.offset) < getEra(offset)) {
-    return !isNewer(entry, tombstone);
-  }
-  return offset < tombstone.offset;
-}
-
 /** Formats what must be equal on all VMs; heartbeats do not change it. */
 function formatForDigest({ server, startedAt }: ServerEntry): string {
   const { id, phase, host, port } = server;
   return `${id} ${phase} ${host}:${port} ${startedAt}`;
 }
 
-/** Whether a version is newer than another one of the same server. */
-function isNewer(entry: ServerVersion, earlier: ServerVersion): boolean {
-  if (entry.startedAt !== earlier.startedAt) {
-    return entry.startedAt > earlier.startedAt;
-  }
-  return entry.sequence > earlier.sequence;
-}
-
 /**
  * Whether an entry changes nothing. Ignores the remaining cold time, which
  * decreases anyway.
--- a/standins/store_standin.ts
+++ b/standins/store_standin.ts
@@ -130,7 +130,7 @@
   );
   topic.records.push({ bytes, at: performance.now() });
   setNewest(topic, bytes, topic.records.length - 1);
-  wakeReaders(topic);
+  releaseReaders(topic);
 }
 
 function setNewest(topic: Topic, bytes: Buffer, offset: number): void {
@@ -141,7 +141,7 @@
   else topic.newest.delete(key);
 }
 
-function wakeReaders(topic: Topic): void {
+function releaseReaders(topic: Topic): void {
   for (const wake of topic.waiting) wake();
   topic.waiting.clear();
 }
@@ -155,7 +155,7 @@
   for (const [offset, { bytes }] of kept.entries()) {
     setNewest(topic, bytes, offset);
   }
-  wakeReaders(topic);
+  releaseReaders(topic);
 }
 
 async function serveCall(
