Evacuate failure domains by records of the operator or the log

Cause: an operator had no way to stop requests to the servers of a failure domain, except by draining each server.

Change: the operator's topic is also read for evacuate/ZONE. The set and the offset up to which it is known are held by the new evacuation service. A hub sends it on each change and first to each new follower, and its confirmations count only for followers that know it. Servers of evacuated domains are not selected, probed or counted in floors and slots; waits for them end at once. If no server remains, requests are refused with the cause 'evacuated'. With the log, rhubarbctl evacuate and restore write records; status and dump list the domains.

--- a/src/ctl/change_commands.ts
+++ b/src/ctl/change_commands.ts
@@ -18,16 +18,13 @@
 import type { CommandFlags } from "./changes.ts";
 import type { Command, CommandContext, CommandFlag } from "./command.ts";
 import { ExitCode, formatResult, getExitCode, printValue } from "./output.ts";
+import { EVACUATION_COMMANDS } from "./evacuation_commands.ts";
 import { publishChange, PublishKind, readConfiguration } from "./publisher.ts";
+import { createChangeCommand, WAIT_FLAG } from "./run_change.ts";
 import { formatShardKey } from "../services/configuration/mod.ts";
 import type { Configuration } from "../services/configuration/mod.ts";
 import { waitUntilInForce } from "./in_force.ts";
 
-const WAIT_FLAG: CommandFlag = {
-  describe: "wait until the change is in force on all --daemons",
-  type: "boolean",
-  default: false,
-};
 const TEAM_FLAGS = {
   rate: {
     describe: "maximum requests per second, summed over all VMs",
@@ -41,38 +38,6 @@
   },
 } as const satisfies Record<string, CommandFlag>;
 
-type ChangeBuilder = (
-  flags: CommandFlags,
-  configuration: Configuration,
-) => Change;
-
-/** Publishes a change and, with `--wait`, waits until it is in force. */
-async function runChange(
-  context: CommandContext,
-  flags: CommandFlags,
-  build: ChangeBuilder,
-): Promise<ExitCode> {
-  const configuration = await readConfiguration(context);
-  const change = build(flags, configuration);
-  const result = await publishChange(context, configuration, change);
-  printValue(context.settings.output, result, formatResult(result));
-  if (result.kind !== PublishKind.Accepted || flags["wait"] !== true) {
-    return getExitCode(result);
-  }
-  return await waitUntilInForce(context, result.offset);
-}
-
-function createChangeCommand(
-  definition: Omit<Command, "run">,
-  build: ChangeBuilder,
-): Command {
-  return {
-    ...definition,
-    flags: { ...definition.flags, wait: WAIT_FLAG },
-    run: (context, flags) => runChange(context, flags, build),
-  };
-}
-
 async function runKeyIssue(
   context: CommandContext,
   flags: CommandFlags,
@@ -365,5 +330,6 @@
   ...SERVER_COMMANDS,
   ...ROUTE_COMMANDS,
   ...PRESET_COMMANDS,
+  ...EVACUATION_COMMANDS,
   ...SHARD_COMMANDS,
 ];
--- a/src/ctl/main.ts
+++ b/src/ctl/main.ts
@@ -55,11 +55,17 @@
   return command.usage.split(" ", 1)[0] ?? "";
 }
 
+/** Whether a command's name is one word, followed by arguments at most. */
+function isStandalone({ usage }: Command): boolean {
+  const second = usage.split(" ")[1];
+  return second === undefined || second.startsWith("<");
+}
+
 function addGroup(parser: Argv, group: string): void {
   const members = COMMANDS.filter((command) => getGroup(command) === group);
   const [first] = members;
-  if (members.length === 1 && first?.usage === group) {
-    addCommand(parser, first, group);
+  if (first !== undefined && isStandalone(first)) {
+    addCommand(parser, first, first.usage);
     return;
   }
   parser.command(group, `commands for a ${group}`, (nested) => {
--- a/src/daemon/wiring/configuration.ts
+++ b/src/daemon/wiring/configuration.ts
@@ -8,6 +8,7 @@
 import { SNAPSHOT_RETENTION_RATIO } from "../../constants.ts";
 import { createHttpLogClient } from "../../protocols/log/http_log_client.ts";
 import { Configuration } from "../../services/configuration/mod.ts";
+import { createLogEvacuations } from "../../services/evacuation/mod.ts";
 import { LogReader } from "../../services/log_reader/mod.ts";
 import { Relay } from "../../services/relay/mod.ts";
 import { Snapshots } from "../../services/snapshots/mod.ts";
@@ -32,6 +33,11 @@
         find(ServiceName.Clock),
       ),
   }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.Evacuation,
+    dependencies: [ServiceName.Configuration],
+    create: (find) => createLogEvacuations(find(ServiceName.Configuration)),
+  }));
   kernel.add(createServiceDefinition({
     name: ServiceName.LogReader,
     dependencies: [
--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -10,6 +10,8 @@
 } from "../../services/catalog.ts";
 import type { Services } from "../../services/catalog.ts";
 import { Configuration } from "../../services/configuration/mod.ts";
+import { EvacuatedDomains } from "../../services/evacuation/mod.ts";
+import { startEvacuationRelay } from "../../services/evacuation/relay.ts";
 import { Feed } from "../../services/feed/mod.ts";
 import { FeedRelay } from "../../services/feed/relay.ts";
 import { ServerRegistry } from "../../services/feed/server_registry.ts";
@@ -150,6 +152,30 @@
         logger: find(ServiceName.Logging).createLogger("servers"),
       }),
   }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.EvacuatedDomains,
+    dependencies: [
+      ServiceName.Clock,
+      ServiceName.Fleet,
+      ServiceName.Metrics,
+      ServiceName.Logging,
+    ],
+    create: (find) => {
+      const domains = new EvacuatedDomains({
+        metrics: find(ServiceName.Metrics),
+        logger: find(ServiceName.Logging).createLogger("evacuation"),
+      });
+      const clock = find(ServiceName.Clock);
+      const fleet = find(ServiceName.Fleet);
+      startEvacuationRelay({ clock, fleet, domains });
+      return domains;
+    },
+  }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.Evacuation,
+    dependencies: [ServiceName.EvacuatedDomains],
+    create: (find) => find(ServiceName.EvacuatedDomains),
+  }));
   kernel.add(createServiceDefinition({
     name: ServiceName.FeedRelay,
     dependencies: [
@@ -157,6 +183,7 @@
       ServiceName.Fleet,
       ServiceName.Configuration,
       ServiceName.ServerRegistry,
+      ServiceName.EvacuatedDomains,
       ServiceName.Freshness,
       ServiceName.Random,
       ServiceName.Logging,
@@ -167,6 +194,7 @@
         fleet: find(ServiceName.Fleet),
         configuration: find(ServiceName.Configuration),
         registry: find(ServiceName.ServerRegistry),
+        evacuations: find(ServiceName.EvacuatedDomains),
         freshness: find(ServiceName.Freshness),
         random: find(ServiceName.Random),
         logger: find(ServiceName.Logging).createLogger("configuration"),
@@ -179,6 +207,7 @@
       ServiceName.Random,
       ServiceName.FeedRelay,
       ServiceName.ServerRegistry,
+      ServiceName.EvacuatedDomains,
       ServiceName.DocumentSource,
       ServiceName.ServerSource,
       ServiceName.StoreEras,
@@ -191,6 +220,7 @@
         random: find(ServiceName.Random),
         relay: find(ServiceName.FeedRelay),
         registry: find(ServiceName.ServerRegistry),
+        evacuations: find(ServiceName.EvacuatedDomains),
         documents: find(ServiceName.DocumentSource),
         servers: find(ServiceName.ServerSource),
         eras: find(ServiceName.StoreEras),
--- a/src/daemon/wiring/request_path.ts
+++ b/src/daemon/wiring/request_path.ts
@@ -10,6 +10,7 @@
 import { Admission } from "../../services/admission/mod.ts";
 import { Detector } from "../../services/detector/mod.ts";
 import { Dispatch } from "../../services/dispatch/mod.ts";
+import { startEvacuatedQueues } from "../../services/forwarding/evacuated_queues.ts";
 import { Forwarding } from "../../services/forwarding/mod.ts";
 import { Shutdown } from "../../services/planned_stop/shutdown.ts";
 import { Overload } from "../../services/overload/mod.ts";
@@ -59,15 +60,19 @@
     name: ServiceName.ServerNotices,
     dependencies: [
       ServiceName.Clock,
+      ServiceName.Evacuation,
       ServiceName.Metrics,
       ServiceName.Logging,
     ],
-    create: (find) =>
-      new ServerNotices({
+    create: (find) => {
+      const notices = new ServerNotices({
         clock: find(ServiceName.Clock),
         metrics: find(ServiceName.Metrics),
         logger: find(ServiceName.Logging).createLogger("servers"),
-      }),
+      });
+      notices.setEvacuation(find(ServiceName.Evacuation));
+      return notices;
+    },
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.Detector,
@@ -144,6 +149,8 @@
       ServiceName.Settings,
       ServiceName.Clock,
       ServiceName.Admission,
+      ServiceName.Configuration,
+      ServiceName.Evacuation,
       ServiceName.Shutdown,
       ServiceName.Selection,
       ServiceName.Detector,
@@ -158,6 +165,12 @@
     ],
     create: (find) => {
       const { vm, incarnation } = find(ServiceName.Settings);
+      startEvacuatedQueues({
+        configuration: find(ServiceName.Configuration),
+        dispatch: find(ServiceName.Dispatch),
+        evacuation: find(ServiceName.Evacuation),
+        selection: find(ServiceName.Selection),
+      });
       return new Forwarding({
         clock: find(ServiceName.Clock),
         admission: find(ServiceName.Admission),
--- a/src/model/outcomes.ts
+++ b/src/model/outcomes.ts
@@ -84,6 +84,8 @@
   Stopping = "stopping",
   DeadlineExpired = "deadline_expired",
   ServerUnavailable = "server_unavailable",
+  /** All servers are in evacuated failure domains. */
+  Evacuated = "evacuated",
   ResponseLost = "answer_lost",
   InternalError = "internal_error",
 }
--- a/src/model/records.ts
+++ b/src/model/records.ts
@@ -37,6 +37,8 @@
   RouteRemove = "route_remove",
   PresetSet = "preset_set",
   PresetSwitch = "preset_switch",
+  DomainEvacuate = "domain_evacuate",
+  DomainRestore = "domain_restore",
   ShardClaim = "seat_claim",
   ShardRelease = "seat_release",
   SnapshotChunk = "snapshot_chunk",
@@ -77,6 +79,8 @@
     readonly preset: WithoutRevision<Preset>;
   }
   | { readonly kind: RecordKind.PresetSwitch; readonly preset: PresetName }
+  | { readonly kind: RecordKind.DomainEvacuate; readonly domain: string }
+  | { readonly kind: RecordKind.DomainRestore; readonly domain: string }
   | { readonly kind: RecordKind.ShardClaim; readonly claim: ShardClaim }
   | {
     readonly kind: RecordKind.ShardRelease;
@@ -114,7 +118,7 @@
 
 /** Kinds of {@linkcode SnapshotScope}. */
 export enum SnapshotScopeKind {
-  /** Services, servers, routes and presets. */
+  /** Services, servers, routes, presets and evacuated failure domains. */
   Fleet = "fleet",
   /** The teams and keys of one cell. */
   Cell = "cell",
@@ -134,6 +138,7 @@
   Route = "route",
   Preset = "preset",
   PresetInForce = "preset_in_force",
+  Evacuation = "evacuation",
   QuotaShard = "seat",
   AppliedId = "applied_id",
 }
@@ -151,6 +156,11 @@
     readonly preset: PresetName;
     readonly revision: Revision;
   }
+  | {
+    readonly kind: SnapshotItemKind.Evacuation;
+    readonly domain: string;
+    readonly revision: Revision;
+  }
   | { readonly kind: SnapshotItemKind.QuotaShard; readonly seat: QuotaShard }
   | { readonly kind: SnapshotItemKind.AppliedId; readonly id: RecordId };
 
--- a/src/protocols/fleet/message_codec.ts
+++ b/src/protocols/fleet/message_codec.ts
@@ -61,6 +61,7 @@
   echo: z.number(),
   askedAfterMs: z.number(),
   version: count,
+  evacuationsAt: z.int(),
   serversAskedAfterMs: z.number().optional(),
 });
 const evidence = z.object({
@@ -155,6 +156,11 @@
     kind: z.literal(FleetMessageKind.ServerRemoved),
     server: serverTombstone,
   }),
+  z.object({
+    kind: z.literal(FleetMessageKind.Evacuations),
+    upTo: z.int(),
+    domains: z.array(z.object({ domain: name, offset: z.int() })),
+  }),
   z.object({
     kind: z.literal(FleetMessageKind.TokenRequest),
     ask: tokenRequest,
@@ -235,6 +241,7 @@
     case FleetMessageKind.Servers:
     case FleetMessageKind.ServerSet:
     case FleetMessageKind.ServerRemoved:
+    case FleetMessageKind.Evacuations:
     case FleetMessageKind.TokenRequest:
     case FleetMessageKind.TokenGrant:
     case FleetMessageKind.TokenReturned:
--- a/src/protocols/http/refusal_codec.ts
+++ b/src/protocols/http/refusal_codec.ts
@@ -78,6 +78,7 @@
     case RefusalKind.Stopping:
     case RefusalKind.ShareMissing:
     case RefusalKind.ServerUnavailable:
+    case RefusalKind.Evacuated:
       return 503;
     case RefusalKind.DeadlineExpired:
       return refusal.run === RunState.NotRun
--- a/src/protocols/log/record_codec.ts
+++ b/src/protocols/log/record_codec.ts
@@ -117,6 +117,11 @@
     preset: z.enum(PresetName),
     revision,
   }),
+  z.object({
+    kind: z.literal(SnapshotItemKind.Evacuation),
+    domain: id,
+    revision,
+  }),
   z.object({
     kind: z.literal(SnapshotItemKind.QuotaShard),
     seat: createRevisedSchema(shard),
@@ -156,6 +161,8 @@
     kind: z.literal(RecordKind.PresetSwitch),
     preset: z.enum(PresetName),
   }),
+  z.object({ kind: z.literal(RecordKind.DomainEvacuate), domain: id }),
+  z.object({ kind: z.literal(RecordKind.DomainRestore), domain: id }),
   z.object({
     kind: z.literal(RecordKind.ShardClaim),
     claim: z.object(shardClaim),
--- a/src/services/catalog.ts
+++ b/src/services/catalog.ts
@@ -12,13 +12,14 @@
 import type { DetectionPolicy, Detector } from "./detector/mod.ts";
 import type { EvidenceExchange } from "./detector/evidence_exchange.ts";
 import type { Dispatch } from "./dispatch/mod.ts";
+import type { EvacuatedDomains, EvacuationView } from "./evacuation/mod.ts";
 import type { Feed } from "./feed/mod.ts";
 import type { FeedRelay } from "./feed/relay.ts";
 import type { ServerRegistry } from "./feed/server_registry.ts";
 import type {
-  DocumentUpdate,
   EraSource,
   FeedSource,
+  OperatorUpdate,
   ServerUpdate,
 } from "./feed/source.ts";
 import type { Fleet, FleetMessage, VmDirectory } from "./fleet/mod.ts";
@@ -96,6 +97,8 @@
   ServerSource = "server_source",
   StoreEras = "store_eras",
   ServerRegistry = "server_registry",
+  EvacuatedDomains = "evacuated_domains",
+  Evacuation = "evacuation",
   Feed = "feed",
   FeedRelay = "feed_relay",
   FleetTransport = "fleet_transport",
@@ -155,10 +158,12 @@
   [ServiceName.FleetRetryBudget]: FleetRetryBudget;
   [ServiceName.LoadExchange]: LoadExchange;
   [ServiceName.DetectionPolicy]: DetectionPolicy;
-  [ServiceName.DocumentSource]: FeedSource<DocumentUpdate>;
+  [ServiceName.DocumentSource]: FeedSource<OperatorUpdate>;
   [ServiceName.ServerSource]: FeedSource<ServerUpdate>;
   [ServiceName.StoreEras]: EraSource;
   [ServiceName.ServerRegistry]: ServerRegistry;
+  [ServiceName.EvacuatedDomains]: EvacuatedDomains;
+  [ServiceName.Evacuation]: EvacuationView;
   [ServiceName.Feed]: Feed;
   [ServiceName.FeedRelay]: FeedRelay;
   [ServiceName.FleetTransport]: PeerTransport<FleetMessage>;
--- a/src/services/configuration/items.ts
+++ b/src/services/configuration/items.ts
@@ -40,6 +40,13 @@
   }
   const { name, revision } = state.presetInForce;
   yield { kind: SnapshotItemKind.PresetInForce, preset: name, revision };
+  for (const [domain, evacuatedAt] of state.evacuations) {
+    yield {
+      kind: SnapshotItemKind.Evacuation,
+      domain,
+      revision: evacuatedAt,
+    };
+  }
 }
 
 function* listCellItems(state: ConfigurationState): Generator<SnapshotItem> {
--- a/src/services/configuration/reducer.ts
+++ b/src/services/configuration/reducer.ts
@@ -79,6 +79,9 @@
       return state.presets.get(change.preset.name)?.revision ?? 0;
     case RecordKind.PresetSwitch:
       return state.presetInForce.revision;
+    case RecordKind.DomainEvacuate:
+    case RecordKind.DomainRestore:
+      return state.evacuations.get(change.domain) ?? 0;
     case RecordKind.ShardClaim:
       return getShardRevision(state, change.claim.cell, change.claim.seat);
     case RecordKind.ShardRelease:
@@ -105,6 +108,8 @@
     case RecordKind.RouteRemove:
     case RecordKind.PresetSet:
     case RecordKind.PresetSwitch:
+    case RecordKind.DomainEvacuate:
+    case RecordKind.DomainRestore:
     case RecordKind.SnapshotChunk:
       return SnapshotScopeKind.Fleet;
   }
@@ -142,6 +147,8 @@
     case RecordKind.RouteRemove:
     case RecordKind.PresetSet:
     case RecordKind.PresetSwitch:
+    case RecordKind.DomainEvacuate:
+    case RecordKind.DomainRestore:
     case RecordKind.SnapshotChunk:
       return true;
   }
@@ -179,10 +186,15 @@
       return state.routes.has(change.route)
         ? undefined
         : `route ${change.route} is unknown`;
+    case RecordKind.DomainRestore:
+      return state.evacuations.has(change.domain)
+        ? undefined
+        : `failure domain ${change.domain} is not evacuated`;
     case RecordKind.TeamSet:
     case RecordKind.ServiceSet:
     case RecordKind.PresetSet:
     case RecordKind.PresetSwitch:
+    case RecordKind.DomainEvacuate:
     case RecordKind.SnapshotChunk:
       return undefined;
     case RecordKind.ShardClaim:
@@ -248,6 +260,12 @@
     case RecordKind.PresetSwitch:
       state.presetInForce = { name: change.preset, revision };
       return;
+    case RecordKind.DomainEvacuate:
+      state.evacuations.set(change.domain, revision);
+      return;
+    case RecordKind.DomainRestore:
+      state.evacuations.delete(change.domain);
+      return;
     case RecordKind.ShardClaim:
       applyClaim(state, change.claim, revision);
       return;
--- a/src/services/configuration/state.ts
+++ b/src/services/configuration/state.ts
@@ -69,6 +69,8 @@
   /** Limits on callers; undefined for the defaults of the caller front. */
   limits: CallerLimits | undefined;
   presetInForce: PresetInForce = { name: PresetName.Ordinary, revision: 0 };
+  /** Revisions of the evacuated failure domains, by domain. */
+  readonly evacuations = new Map<string, Revision>();
   readonly teams = new Map<TeamId, Team>();
   readonly keys = new Map<KeyDigest, Key>();
   readonly services = new Map<ServiceId, Service>();
@@ -168,6 +170,9 @@
       case SnapshotItemKind.PresetInForce:
         this.presetInForce = { name: item.preset, revision: item.revision };
         return;
+      case SnapshotItemKind.Evacuation:
+        this.evacuations.set(item.domain, item.revision);
+        return;
       case SnapshotItemKind.QuotaShard:
         this.shards.set(
           formatShardKey(item.seat.cell, item.seat.index),
--- a/src/services/detector/mod.ts
+++ b/src/services/detector/mod.ts
@@ -398,8 +398,9 @@
    * chosen to do so, since the fault may be in the peer's link only.
    */
   #probeIfChosen(server: Server): void {
-    const { exchange, probe } = this.#deps;
+    const { exchange, notices, probe } = this.#deps;
     if (this.getEjectionState(server) !== EjectionState.Admitted) return;
+    if (!isStaying(notices.getAvailability(server))) return;
     const ranked = listRanked(
       [...exchange.listVms(), exchange.vm],
       (vm) => computeHash(`${vm} probe ${server.id}`),
@@ -527,12 +528,10 @@
   }
 
   #getView(service: ServiceId): FloorView {
-    const { state } = this.#deps.configuration;
+    const { configuration: { state }, notices } = this.#deps;
     return {
       servers: state.listServers(service)
-        .filter((server) =>
-          this.#deps.notices.getAvailability(server) !== Availability.Leaving
-        ),
+        .filter((server) => isStaying(notices.getAvailability(server))),
       floor: state.getFloor(service),
     };
   }
@@ -561,3 +560,15 @@
     return created;
   }
 }
+
+/** Whether a server counts as one of its service for floors and probes. */
+function isStaying(availability: Availability): boolean {
+  switch (availability) {
+    case Availability.Available:
+    case Availability.Paused:
+      return true;
+    case Availability.Leaving:
+    case Availability.Evacuated:
+      return false;
+  }
+}
--- a/src/services/dispatch/mod.ts
+++ b/src/services/dispatch/mod.ts
@@ -68,6 +68,16 @@
     if (queue.concurrency !== bounded) queue.concurrency = bounded;
   }
 
+  /** Runs all jobs that wait for a server, which must check it themselves. */
+  openServer(server: ServerId): void {
+    this.setServerConcurrency(server, Infinity);
+  }
+
+  /** Limits the jobs that run at a server again. */
+  restoreServer(server: ServerId): void {
+    this.setServerConcurrency(server, INITIAL_CONCURRENCY);
+  }
+
   /** Deletes the queue of a removed backend server. */
   removeServer(server: ServerId): void {
     this.#servers.delete(server);
--- a/src/services/feed/mod.ts
+++ b/src/services/feed/mod.ts
@@ -2,6 +2,7 @@
 import { getEra, getOffsetInEra } from "../../model/mod.ts";
 import type { Offset } from "../../model/mod.ts";
 import type { Clock } from "../clock/mod.ts";
+import type { EvacuatedDomains } from "../evacuation/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import { Counter } from "../metrics/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
@@ -11,16 +12,17 @@
 import type { ServerRegistry } from "./server_registry.ts";
 import {
   DocumentUpdateKind,
+  EvacuationUpdateKind,
   FeedReadKind,
   ServerOrigin,
   ServerUpdateKind,
 } from "./source.ts";
 import type {
-  DocumentUpdate,
   EraChange,
   EraSource,
   FeedRead,
   FeedSource,
+  OperatorUpdate,
   ServerUpdate,
 } from "./source.ts";
 
@@ -73,13 +75,18 @@
   readonly random: Random;
   readonly relay: FeedRelay;
   readonly registry: ServerRegistry;
-  readonly documents: FeedSource<DocumentUpdate>;
+  readonly evacuations: EvacuatedDomains;
+  readonly documents: FeedSource<OperatorUpdate>;
   readonly servers: FeedSource<ServerUpdate>;
   readonly eras: EraSource;
   readonly metrics: Metrics;
   readonly logger: Logger;
 }
 
+type ReadDocuments = Extract<
+  FeedRead<OperatorUpdate>,
+  { kind: FeedReadKind.Updates }
+>;
 type ReadServers = Extract<
   FeedRead<ServerUpdate>,
   { kind: FeedReadKind.Updates }
@@ -105,11 +112,12 @@
 
   /** Reads configurations until `signal` aborts. */
   async runDocuments(signal: AbortSignal): Promise<void> {
-    const { documents, clock, relay } = this.#deps;
+    const { documents, clock, relay, evacuations } = this.#deps;
     let position: Offset | undefined;
     let failures = 0;
     let isHubAwaited = false;
     while (!signal.aborted) {
+      evacuations.removeExpired(clock.now());
       if (!relay.isReader()) {
         position = undefined;
         failures = 0;
@@ -127,7 +135,8 @@
         case FeedReadKind.Updates: {
           failures = 0;
           isHubAwaited = false;
-          this.#applyDocuments(read.updates);
+          if (position === undefined) this.#replaceEvacuations(read);
+          this.#applyDocuments(read);
           position = read.next;
           this.#documentsUpTo = position;
           if (read.isComplete && this.#unreadableAt === undefined) {
@@ -237,9 +246,23 @@
     }
   }
 
-  #applyDocuments(updates: readonly DocumentUpdate[]): void {
+  /** Applies a read of the newest records, which contain all evacuations. */
+  #replaceEvacuations({ updates, next }: ReadDocuments): void {
+    const { evacuations, clock } = this.#deps;
+    const domains = updates.filter((update) =>
+      update.kind === EvacuationUpdateKind.Evacuated
+    ).map(({ domain, offset }) => ({ domain, offset }));
+    evacuations.replaceAll(domains, next - 1, clock.now());
+  }
+
+  #applyDocuments({ updates, next }: ReadDocuments): void {
+    const { evacuations } = this.#deps;
     for (const update of updates) {
       switch (update.kind) {
+        case EvacuationUpdateKind.Evacuated:
+        case EvacuationUpdateKind.Restored:
+          evacuations.apply(update);
+          break;
         case DocumentUpdateKind.Readable:
           if (update.offset > (this.#unreadableAt ?? -1)) {
             this.#unreadableAt = undefined;
@@ -251,6 +274,7 @@
           break;
       }
     }
+    evacuations.advance(next - 1);
   }
 
   #recordUnreadable(offset: Offset, reason: string): void {
--- a/src/services/feed/relay.ts
+++ b/src/services/feed/relay.ts
@@ -11,6 +11,7 @@
   Link,
   ServersRelay,
 } from "../fleet/mod.ts";
+import type { EvacuatedDomains } from "../evacuation/mod.ts";
 import type { FreshnessSource } from "../freshness/mod.ts";
 import type { ConfigurationDocument } from "../../model/mod.ts";
 import type { Logger } from "../logging/mod.ts";
@@ -56,6 +57,7 @@
   readonly fleet: Fleet;
   readonly configuration: Configuration;
   readonly registry: ServerRegistry;
+  readonly evacuations: EvacuatedDomains;
   readonly freshness: FreshnessSource;
   readonly random: Random;
   readonly logger: Logger;
@@ -203,15 +205,17 @@
     return {
       requestedAt: this.#confirmedAt,
       version: this.#deps.configuration.offset,
+      evacuationsAt: this.#deps.evacuations.changedAt,
       serversRequestedAt: this.#serversRequestedAt,
     };
   }
 
   recordRelayed(
-    { requestedAt, version, serversRequestedAt }: Confirmation,
+    { requestedAt, version, evacuationsAt, serversRequestedAt }: Confirmation,
   ): void {
-    const { configuration, freshness } = this.#deps;
+    const { configuration, evacuations, freshness } = this.#deps;
     if (configuration.offset < version || version === 0) return;
+    if (evacuations.upTo < evacuationsAt) return;
     const now = this.#now();
     freshness.recordLogRead(Math.min(requestedAt, now));
     const bothAt = Math.min(requestedAt, serversRequestedAt ?? -Infinity, now);
--- a/src/services/feed/source.ts
+++ b/src/services/feed/source.ts
@@ -80,6 +80,30 @@
     readonly reason: string;
   };
 
+/** Kinds of {@linkcode EvacuationUpdate}. */
+export enum EvacuationUpdateKind {
+  /** No request may be sent to the servers of the domain. */
+  Evacuated = "evacuated",
+  /** The servers of the domain are in use again. */
+  Restored = "restored",
+}
+
+/** An evacuation of a failure domain, or its end. */
+export type EvacuationUpdate =
+  | {
+    readonly kind: EvacuationUpdateKind.Evacuated;
+    readonly offset: Offset;
+    readonly domain: string;
+  }
+  | {
+    readonly kind: EvacuationUpdateKind.Restored;
+    readonly offset: Offset;
+    readonly domain: string;
+  };
+
+/** What an operator writes to the store. */
+export type OperatorUpdate = DocumentUpdate | EvacuationUpdate;
+
 /** Kinds of {@linkcode ServerUpdate}. */
 export enum ServerUpdateKind {
   Listed = "listed",
--- a/src/services/fleet/exchange.ts
+++ b/src/services/fleet/exchange.ts
@@ -50,6 +50,8 @@
   /** Request time of the newest read that confirmed the configuration. */
   readonly requestedAt: number;
   readonly version: Offset;
+  /** Offset up to which the evacuations must be known to be the same. */
+  readonly evacuationsAt: Offset;
   /** Request time of the newest read of servers; undefined before the first. */
   readonly serversRequestedAt: number | undefined;
 }
@@ -262,12 +264,14 @@
     if (confirmation === undefined || link.status === undefined) {
       return undefined;
     }
-    const { requestedAt, serversRequestedAt, version } = confirmation;
+    const { requestedAt, serversRequestedAt, version, evacuationsAt } =
+      confirmation;
     const { sentAt, receivedAt } = link.status;
     return {
       echo: sentAt,
       askedAfterMs: requestedAt - receivedAt,
       version,
+      evacuationsAt,
       ...(serversRequestedAt !== undefined &&
         { serversAskedAfterMs: serversRequestedAt - receivedAt }),
     };
@@ -306,12 +310,14 @@
     this.#confirmations?.checkServersDigest(report.serversDigest, link);
     const { confirmation } = report;
     if (confirmation === undefined) return;
-    const { echo, askedAfterMs, serversAskedAfterMs, version } = confirmation;
+    const { echo, askedAfterMs, serversAskedAfterMs, version, evacuationsAt } =
+      confirmation;
     link.echoedAfterMs = this.#deps.clock.now() - echo;
     this.#confirmations?.checkVersion(version, link);
     this.#confirmations?.recordRelayed({
       requestedAt: echo + askedAfterMs,
       version,
+      evacuationsAt,
       serversRequestedAt: serversAskedAfterMs === undefined
         ? undefined
         : echo + serversAskedAfterMs,
--- a/src/services/fleet/message.ts
+++ b/src/services/fleet/message.ts
@@ -8,6 +8,7 @@
   VmName,
   VmPhase,
 } from "../../model/mod.ts";
+import type { EvacuatedDomain } from "../evacuation/evacuated_domains.ts";
 import type { ServerEvidence } from "../membership/peer_message.ts";
 import type { ServerTombstone } from "../feed/server_registry.ts";
 import type { ServerListing } from "../feed/source.ts";
@@ -27,6 +28,7 @@
   Servers = "l",
   ServerSet = "n",
   ServerRemoved = "x",
+  Evacuations = "w",
   TokenRequest = "k",
   TokenGrant = "g",
   TokenReturned = "b",
@@ -143,6 +145,8 @@
   readonly askedAfterMs: number;
   /** Newest version of the configuration at that time. */
   readonly version: Offset;
+  /** Offset up to which the evacuations must be known; -1 if there are none. */
+  readonly evacuationsAt: Offset;
   /** The same for the newest read of servers; absent before the first. */
   readonly serversAskedAfterMs?: number | undefined;
 }
@@ -224,6 +228,13 @@
   readonly server: ServerTombstone;
 }
 
+/** The evacuated failure domains, complete up to an offset. */
+export interface EvacuationsRelay {
+  readonly kind: FleetMessageKind.Evacuations;
+  readonly upTo: Offset;
+  readonly domains: readonly EvacuatedDomain[];
+}
+
 /** Request to a hub for tokens of a team. */
 export interface TokenRequestMessage {
   readonly kind: FleetMessageKind.TokenRequest;
@@ -256,6 +267,7 @@
   | ServersRelay
   | ServerSetRelay
   | ServerRemovedRelay
+  | EvacuationsRelay
   | TokenRequestMessage
   | TokenGrantMessage
   | TokenReturnedMessage;
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -587,6 +587,7 @@
       case FleetMessageKind.Servers:
       case FleetMessageKind.ServerSet:
       case FleetMessageKind.ServerRemoved:
+      case FleetMessageKind.Evacuations:
       case FleetMessageKind.TokenRequest:
       case FleetMessageKind.TokenGrant:
       case FleetMessageKind.TokenReturned:
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -158,7 +158,7 @@
       server: server.id,
       offset: server.revision,
       reason: isAllowed
-        ? "server is leaving, paused or removed"
+        ? "server is leaving, paused, evacuated or removed"
         : "request is no longer allowed",
     });
     return false;
--- /dev/null
+++ b/src/services/forwarding/evacuated_queues.ts
@@ -0,0 +1,51 @@
+/** Ends waits for servers of failure domains that have been evacuated. */
+import type { ServerId } from "../../model/mod.ts";
+import type { Configuration } from "../configuration/mod.ts";
+import type { Dispatch } from "../dispatch/mod.ts";
+import type { EvacuationView } from "../evacuation/mod.ts";
+import type { Selection } from "../selection/mod.ts";
+
+/** Dependencies of {@linkcode startEvacuatedQueues}. */
+export interface EvacuatedQueuesDependencies {
+  readonly configuration: Configuration;
+  readonly dispatch: Dispatch;
+  readonly evacuation: EvacuationView;
+  readonly selection: Selection;
+}
+
+/**
+ * Opens the queues of evacuated servers, and of services that have no other
+ * servers, on each change. Each waiting request then checks its server, finds
+ * that it may not be used, and continues with another one or is refused.
+ */
+export function startEvacuatedQueues(deps: EvacuatedQueuesDependencies): void {
+  const opened = new Set<ServerId>();
+  deps.evacuation.addListener(() => {
+    updateServers(deps, opened);
+    openServices(deps);
+  });
+}
+
+function updateServers(
+  { configuration, dispatch, evacuation }: EvacuatedQueuesDependencies,
+  opened: Set<ServerId>,
+): void {
+  for (const { id, failureDomain } of configuration.state.servers.values()) {
+    if (evacuation.isEvacuated(failureDomain)) {
+      dispatch.openServer(id);
+      opened.add(id);
+    } else if (opened.delete(id)) {
+      dispatch.restoreServer(id);
+    }
+  }
+}
+
+/** The next request of each service limits its concurrency again. */
+function openServices(
+  { configuration, dispatch, selection }: EvacuatedQueuesDependencies,
+): void {
+  for (const service of configuration.state.services.keys()) {
+    if (!selection.hasOnlyEvacuated(service)) continue;
+    dispatch.setServiceConcurrency(service, Infinity);
+  }
+}
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -45,6 +45,12 @@
  */
 const PAUSE_SPREAD_RATIO = 0.5;
 
+/**
+ * Minimum retry delay while all servers of a service are evacuated. Evacuations
+ * end at an unknown time; a second is short compared to their usual duration.
+ */
+const EVACUATED_RETRY_MS = 1_000;
+
 /** Dependencies of {@linkcode Forwarding}. */
 export interface ForwardingDependencies extends AttemptDependencies {
   readonly random: Random;
@@ -127,6 +133,8 @@
     const { plan } = context;
     const { dispatch, selection } = this.#deps;
     const { service } = plan;
+    const evacuated = this.#checkEvacuated(plan);
+    if (evacuated !== undefined) return await this.#refuse(context, evacuated);
     const paused = this.#checkPaused(plan);
     if (paused !== undefined) return await this.#refuse(context, paused);
     const overloaded = this.#checkOverload(plan);
@@ -162,6 +170,16 @@
     }
   }
 
+  /** Returns a refusal if evacuations leave the service no server. */
+  #checkEvacuated(plan: RequestPlan): Refusal | undefined {
+    if (!this.#deps.selection.hasOnlyEvacuated(plan.service)) return undefined;
+    return createRefusal(
+      RefusalKind.Evacuated,
+      Step.Queue,
+      this.#computeRetryAfterMs(EVACUATED_RETRY_MS),
+    );
+  }
+
   /** Returns a refusal if all servers of the service want no requests now. */
   #checkPaused(plan: RequestPlan): Refusal | undefined {
     const pauseMs = this.#deps.selection.getPauseMs(plan.service);
@@ -247,7 +265,17 @@
       await this.#sendResponse(context, progress.failedResponse);
       return undefined;
     }
-    return await this.#refuse(context, progress.refusal);
+    return await this.#refuse(
+      context,
+      this.#resolveRefusal(plan, progress.refusal),
+    );
+  }
+
+  /** Names evacuations as the cause if they left no server to try. */
+  #resolveRefusal(plan: RequestPlan, refusal: Refusal): Refusal {
+    const isUnavailable = refusal.kind === RefusalKind.ServerUnavailable;
+    if (!isUnavailable || refusal.run !== RunState.NotRun) return refusal;
+    return this.#checkEvacuated(plan) ?? refusal;
   }
 
   /**
--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -20,6 +20,7 @@
   StoreReads = "store_reads",
   StoreEras = "store_eras",
   Refusals = "refusals",
+  Evacuations = "evacuations",
   ServerNotices = "server_notices",
   HandlerErrors = "handler_errors",
   UncaughtExceptions = "uncaught_exceptions",
@@ -41,6 +42,8 @@
   [Counter.HandlerErrors]:
     "Errors of listeners while they handled input, by service.",
   [Counter.UncaughtExceptions]: "Exceptions that no code caught.",
+  [Counter.Evacuations]:
+    "Failure domains of which this VM learned that they are evacuated, or in use again.",
   [Counter.Refusals]: "Requests refused without a server's response, by kind.",
 };
 
--- a/src/services/operator_front/mod.ts
+++ b/src/services/operator_front/mod.ts
@@ -118,6 +118,7 @@
       cell: settings.cell,
       offset: configuration.offset,
       preset: configuration.state.presetInForce.name,
+      evacuated: [...configuration.state.evacuations.keys()],
       freshness: freshness.getReport(),
       phase: this.#deps.presence.phase,
       log: logReader.getReport(),
--- a/src/services/selection/mod.ts
+++ b/src/services/selection/mod.ts
@@ -188,6 +188,7 @@
         case Availability.Available:
           return 0;
         case Availability.Leaving:
+        case Availability.Evacuated:
           break;
         case Availability.Paused:
           shortestMs = Math.min(shortestMs, notices.getPauseMs(server));
@@ -196,6 +197,16 @@
     return shortestMs < Infinity ? shortestMs : 0;
   }
 
+  /** Whether evacuations leave no server of a service that would have some. */
+  hasOnlyEvacuated(service: ServiceId): boolean {
+    const { configuration, notices } = this.#deps;
+    const staying = configuration.state.listServers(service)
+      .map((server) => notices.getAvailability(server))
+      .filter((availability) => availability !== Availability.Leaving);
+    return staying.length > 0 &&
+      staying.every((availability) => availability === Availability.Evacuated);
+  }
+
   /** Records that an attempt starts; returns whether it gets a free slot. */
   recordStart(server: Server): boolean {
     const hasCapacity = this.#computeQueueDepth(server) === 0;
--- a/src/services/server_notices/mod.ts
+++ b/src/services/server_notices/mod.ts
@@ -9,6 +9,7 @@
 import { ServerPhase } from "../../model/mod.ts";
 import type { Server, ServerId } from "../../model/mod.ts";
 import type { Clock } from "../clock/mod.ts";
+import type { EvacuationView } from "../evacuation/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import { Counter } from "../metrics/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
@@ -18,6 +19,8 @@
   Available = "available",
   /** It leaves, by its entry or by its own responses. */
   Leaving = "leaving",
+  /** Its failure domain is evacuated. */
+  Evacuated = "evacuated",
   /** It asked to get no requests for some time. */
   Paused = "paused",
 }
@@ -59,14 +62,29 @@
 export class ServerNotices {
   readonly #deps: ServerNoticesDependencies;
   readonly #notices = new Map<ServerId, ServerNotice>();
+  #evacuation: EvacuationView | undefined;
 
   /** Creates the service without notices. */
   constructor(deps: ServerNoticesDependencies) {
     this.#deps = deps;
   }
 
+  /** Sets the evacuated failure domains; without them, there are none. */
+  setEvacuation(evacuation: EvacuationView): void {
+    this.#evacuation = evacuation;
+  }
+
   /** Returns whether a server may be sent requests now. */
   getAvailability(server: Server): Availability {
+    const availability = this.#getOwnAvailability(server);
+    if (availability === Availability.Leaving) return availability;
+    return this.#evacuation?.isEvacuated(server.failureDomain)
+      ? Availability.Evacuated
+      : availability;
+  }
+
+  /** Returns what a server's entry and responses say. */
+  #getOwnAvailability(server: Server): Availability {
     if (server.phase === ServerPhase.Draining) return Availability.Leaving;
     const notice = this.#find(server);
     switch (notice?.kind) {
--- a/tests/feed_world.ts
+++ b/tests/feed_world.ts
@@ -5,15 +5,18 @@
 import { PresetName, ServerPhase, VmPhase } from "../src/model/mod.ts";
 import type { Preset, Team } from "../src/model/mod.ts";
 import { Configuration } from "../src/services/configuration/mod.ts";
+import { EvacuatedDomains } from "../src/services/evacuation/mod.ts";
+import { startEvacuationRelay } from "../src/services/evacuation/relay.ts";
 import { Feed } from "../src/services/feed/mod.ts";
 import { FeedRelay } from "../src/services/feed/relay.ts";
 import { ServerRegistry } from "../src/services/feed/server_registry.ts";
 import {
   DocumentUpdateKind,
+  EvacuationUpdateKind,
   ServerUpdateKind,
 } from "../src/services/feed/source.ts";
 import type {
-  DocumentUpdate,
+  OperatorUpdate,
   ServerEntry,
   ServerUpdate,
   ServerVersion,
@@ -64,6 +67,7 @@
   readonly configuration: Configuration;
   readonly freshness: Confirmations;
   readonly registry: ServerRegistry;
+  readonly evacuations: EvacuatedDomains;
   readonly loads: LoadExchange;
   readonly limiter: TeamLimiter;
   readonly stop: AbortController;
@@ -135,9 +139,9 @@
     },
   });
   readonly eras = new MemoryEras();
-  readonly documents = new MemoryTopic<DocumentUpdate>({
-    getKey: () => "configuration",
-    isRemoval: () => false,
+  readonly documents = new MemoryTopic<OperatorUpdate>({
+    getKey: (update) => "domain" in update ? update.domain : "configuration",
+    isRemoval: (update) => update.kind === EvacuationUpdateKind.Restored,
   }, this.eras);
   readonly directory = new MemoryTopic<VmUpdate>({
     getKey: (update) =>
@@ -169,6 +173,7 @@
     this.#startCount += 1;
     const clock = new VirtualClock(this.time);
     const logger = this.#createLogger(name);
+    const metrics = new Metrics();
     const transport = this.network.addTransport(name, clock);
     const configuration = new Configuration("cell", clock);
     const freshness = new Confirmations({
@@ -199,11 +204,14 @@
     const loads = createFleetLoads(fleet);
     loads.setSource(() => new Map([["s1", 1]]));
     const registry = new ServerRegistry({ configuration, logger });
+    const evacuations = new EvacuatedDomains({ metrics, logger });
+    startEvacuationRelay({ clock, fleet, domains: evacuations });
     const relay = new FeedRelay({
       clock,
       fleet,
       configuration,
       registry,
+      evacuations,
       freshness,
       random: createSeededRandom(this.#startCount),
       logger,
@@ -213,10 +221,11 @@
       random: createSeededRandom(this.#startCount),
       relay,
       registry,
+      evacuations,
       documents: this.documents.createSource(name, clock),
       servers: this.servers.createSource(name, clock),
       eras: this.eras.createSource(name),
-      metrics: new Metrics(),
+      metrics,
       logger,
     });
     const stop = new AbortController();
@@ -228,6 +237,7 @@
       configuration,
       freshness,
       registry,
+      evacuations,
       loads,
       limiter: this.#createLimiter(fleet, clock),
       stop,
@@ -253,6 +263,16 @@
     this.vms.splice(this.vms.indexOf(vm), 1);
   }
 
+  /** Evacuates a failure domain, or restores it. */
+  publishEvacuation(domain: string, isEvacuated = true): void {
+    const { Evacuated, Restored } = EvacuationUpdateKind;
+    this.documents.add({
+      kind: isEvacuated ? Evacuated : Restored,
+      offset: this.documents.nextPosition,
+      domain,
+    });
+  }
+
   /** Publishes a configuration that no VM can read. */
   publishUnreadable(): void {
     this.documents.add({
