--- a/scripts/platform_fleet.ts
+++ b/scripts/platform_fleet.ts
@@ -100,6 +100,11 @@
   restoreServer(index: number): void;
   /** Removes a server's entry and stops renewing it. */
   removeServer(index: number): void;
+  /**
+   * Replaces the store's content by a copy that is `ageMs` old. The operator and
+   * the servers write again what it lacks after `rewriteMs`.
+   */
+  restoreStore(ageMs: number, rewriteMs: number): Promise<void>;
   /** Starts a VM's daemon again, on the same ports. */
   startVm(vm: PlatformVm): void;
   /** Stops everything. */
@@ -157,6 +162,16 @@
   };
   for (const vm of vms) startVm(vm);
   let version = 0;
+  let newestTeams: readonly TeamConfig[] | undefined;
+  const writeConfiguration = (): void => {
+    if (newestTeams === undefined) return;
+    const configuration = createConfiguration(
+      version,
+      newestTeams,
+      options.warmUp,
+    );
+    store.put("keyed.op", "config", configuration);
+  };
   return {
     group,
     store,
@@ -164,9 +179,14 @@
     vms,
     publish: (teams) => {
       version += 3;
-      const { warmUp } = options;
-      const configuration = createConfiguration(version, teams, warmUp);
-      store.put("keyed.op", "config", configuration);
+      newestTeams = teams;
+      writeConfiguration();
+    },
+    restoreStore: async (ageMs, rewriteMs) => {
+      store.restoreCopy(ageMs);
+      await new Promise((resolve) => setTimeout(resolve, rewriteMs));
+      writeConfiguration();
+      registry.writeRemovals();
     },
     announceServer: registry.announce,
     restoreServer: (index) => {
@@ -195,6 +215,8 @@
 interface Registry {
   announce(index: number, state: "ready" | "draining", coldMs?: number): void;
   remove(index: number): void;
+  /** Removes the entries of servers that are away once more. */
+  writeRemovals(): void;
   stop(): void;
 }
 
@@ -235,6 +257,10 @@
       states[index] = undefined;
       store.remove("keyed.servers", `i-${index}`);
     },
+    writeRemovals: () =>
+      states.forEach((state, index) => {
+        if (state === undefined) store.remove("keyed.servers", `i-${index}`);
+      }),
     stop: () => clearInterval(timer),
   };
 }
--- a/src/services/dispatch/mod.ts
+++ b/src/services/dispatch/mod.ts
@@ -86,6 +86,12 @@
     if (queue.concurrency !== bounded) queue.concurrency = bounded;
   }
 
+  /** Runs all jobs that wait for a server, which must check it themselves. */
+  openServer(server: ServerId): void {
+    const entry = this.#servers.get(server);
+    if (entry !== undefined) entry.queue.concurrency = Infinity;
+  }
+
   /**
    * Queues `job` and runs it when it is the team's turn at the service.
    *
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -275,7 +275,7 @@
     const isAllowed = admission.checkPlan(context.plan) === undefined;
     if (isAllowed && selection.isUsable(server)) return true;
     const reason = isAllowed
-      ? "server is leaving, paused or removed"
+      ? "server is leaving, paused, evacuated or removed"
       : "request is no longer allowed";
     this.#recordUnsent(context, server, reason);
     return false;
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -1,5 +1,5 @@
 /** Forwarding service: sends admitted requests to servers until one responds. */
-import { RefusalKind, Step } from "../../model/mod.ts";
+import { RefusalKind, RunState, Step } from "../../model/mod.ts";
 import type { Refusal } from "../../model/mod.ts";
 import { createRefusal } from "../admission/mod.ts";
 import type { RequestPlan } from "../admission/mod.ts";
@@ -20,6 +20,12 @@
 import type { RequestWait } from "./request_wait.ts";
 import { RetryDelay } from "./retry_delay.ts";
 
+/**
+ * Minimum retry delay while all servers of a service are evacuated. Evacuations
+ * end at an unknown time; a second is short compared to their usual duration.
+ */
+const EVACUATED_RETRY_MS = 1_000;
+
 /** Dependencies of {@linkcode Forwarding}. */
 export interface ForwardingDependencies extends AttemptsDependencies {
   readonly random: Random;
@@ -87,6 +93,10 @@
     const { plan } = context;
     const { dispatch, selection } = this.#deps;
     const { service } = plan;
+    const evacuated = this.#checkEvacuated(plan);
+    if (evacuated !== undefined) {
+      return await this.#responder.refuse(context, evacuated);
+    }
     const paused = this.#checkPaused(plan);
     if (paused !== undefined) {
       return await this.#responder.refuse(context, paused);
@@ -132,10 +142,30 @@
         await this.#responder.sendResponse(context, result.accepted);
         return undefined;
       case AttemptsKind.Refused:
-        return await this.#responder.refuse(context, result.refusal);
+        return await this.#responder.refuse(
+          context,
+          this.#resolveRefusal(context.plan, result.refusal),
+        );
     }
   }
 
+  /** Names evacuations as the cause if they left no server to try. */
+  #resolveRefusal(plan: RequestPlan, refusal: Refusal): Refusal {
+    const isUnavailable = refusal.kind === RefusalKind.ServerUnavailable;
+    if (!isUnavailable || refusal.run !== RunState.NotRun) return refusal;
+    return this.#checkEvacuated(plan) ?? refusal;
+  }
+
+  /** Returns a refusal if evacuations leave the service no server. */
+  #checkEvacuated(plan: RequestPlan): Refusal | undefined {
+    if (!this.#deps.selection.hasOnlyEvacuated(plan.service)) return undefined;
+    return createRefusal(
+      RefusalKind.Evacuated,
+      Step.Queue,
+      this.#retryDelay.computeMs(EVACUATED_RETRY_MS),
+    );
+  }
+
   /** Returns a refusal if all servers of the service want no requests now. */
   #checkPaused(plan: RequestPlan): Refusal | undefined {
     const pauseMs = this.#deps.selection.getPauseMs(plan.service);
--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -23,6 +23,7 @@
   Pipelined = "pipelined",
   Dropped = "dropped",
   MemoryBounds = "memory_bounds",
+  Evacuations = "evacuations",
   ServerNotices = "server_notices",
   ColdServers = "cold_servers",
   WarmUpPermits = "warm_up_permits",
@@ -56,6 +57,8 @@
     "Times that a bound of the memory budget was reached, by bound and effect.",
   [Counter.Dropped]:
     "Requests not run because their connection closed before their turn.",
+  [Counter.Evacuations]:
+    "Failure domains of which this VM learned that they are evacuated, or in use again.",
   [Counter.Refusals]: "Requests refused without a server's response, by kind.",
 };
 
