Order evacuations by domain; announce each VM again once per era

Cause: records of the operator's topic that arrive while its newest records are read could raise the known offset past a record of another domain, which was then ignored. A hub whose directory read was delayed announced the same VM every second. A server removed while its domain was evacuated kept an open queue.

Change: a record is compared with the newest one of its own domain. Queues of removed servers are limited again.

--- a/src/services/evacuation/evacuated_domains.ts
+++ b/src/services/evacuation/evacuated_domains.ts
@@ -85,17 +85,22 @@
     this.#listeners.add(listener);
   }
 
-  /** Applies one record, unless it is known. */
+  /**
+   * Applies one record, unless a newer one of the domain is known. Records of
+   * several domains may arrive out of order while newest records are read.
+   */
   apply(update: EvacuationUpdate): void {
     const { domain, offset } = update;
-    if (offset <= this.#upTo) return;
-    this.#upTo = offset;
+    const evacuatedAt = this.#domains.get(domain)?.offset ?? -1;
+    const endedAt = this.#ended.get(domain) ?? -1;
+    if (offset <= Math.max(evacuatedAt, endedAt)) return;
+    this.advance(offset);
     switch (update.kind) {
       case EvacuationUpdateKind.Evacuated:
         return this.#recordChange(this.#set(domain, offset, Infinity));
       case EvacuationUpdateKind.Restored:
         return this.#recordChange(
-          this.#remove(domain, "restored by the operator"),
+          this.#remove(domain, offset, "restored by the operator"),
         );
     }
   }
@@ -127,7 +132,8 @@
       const until = isNewEra ? now + GRACE_MS : missingUntil;
       isChanged = (now < until && until < Infinity
         ? this.#set(domain, offset, until)
-        : this.#remove(domain, "not in the newest records")) || isChanged;
+        : this.#remove(domain, upTo, "not in the newest records")) ||
+        isChanged;
     }
     for (const { domain, offset } of domains) {
       isChanged = this.#set(domain, offset, Infinity) || isChanged;
@@ -151,7 +157,7 @@
     const expired = [...this.#domains.values()]
       .filter(({ missingUntil }) => now >= missingUntil);
     for (const { domain } of expired) {
-      this.#remove(domain, "not in the newest records");
+      this.#remove(domain, this.#upTo, "not in the newest records");
     }
     this.#recordChange(expired.length > 0);
   }
@@ -166,9 +172,11 @@
     return true;
   }
 
-  /** Removes a domain; returns whether it was evacuated before. */
-  #remove(domain: string, reason: string): boolean {
-    const offset = this.#upTo;
+  /**
+   * Removes a domain whose evacuation has ended at `offset`; returns whether it
+   * was evacuated before.
+   */
+  #remove(domain: string, offset: Offset, reason: string): boolean {
     this.#ended.set(domain, offset);
     if (!this.#domains.delete(domain)) return false;
     this.#deps.metrics.add(Counter.Evacuations, "restored");
--- a/src/services/fleet/directory.ts
+++ b/src/services/fleet/directory.ts
@@ -68,6 +68,11 @@
   readonly #removed = new Map<VmName, Incarnation>();
   /** Incarnations in the directory; undefined before this hub has read it. */
   #listed: Map<VmName, Incarnation> | undefined;
+  /**
+   * Incarnations that this hub has announced again since the last new era. Each
+   * is announced once, also if the reads of the directory are delayed.
+   */
+  readonly #restored = new Map<VmName, Incarnation>();
   /** Era of the store in which the directory was read last. */
   #era = 0;
 
@@ -109,8 +114,11 @@
           position = read.next;
           break;
         case FeedReadKind.OutOfRange:
+          position = undefined;
+          break;
         case FeedReadKind.EraChanged:
           position = undefined;
+          await clock.sleep(DIRECTORY_RETRY_MS, signal);
           break;
         case FeedReadKind.Unavailable:
           await this.#fetchFromSeeds(signal);
@@ -182,6 +190,7 @@
   async restoreLost(vm: VmEntry): Promise<boolean> {
     const { directory, logger } = this.#deps;
     const isAnnounced = await directory.announce(vm);
+    if (isAnnounced) this.#restored.set(vm.name, vm.incarnation);
     logger.info("tried to announce a VM without an entry again", {
       vmName: vm.name,
       isAnnounced,
@@ -190,9 +199,10 @@
   }
 
   /** Whether the directory contains a VM's entry, as far as this hub knows. */
-  isListed(vm: VmEntry): boolean {
+  isListed({ name, incarnation }: VmEntry): boolean {
     if (this.#listed === undefined) return true;
-    return (this.#listed.get(vm.name) ?? -1) >= vm.incarnation;
+    if (this.#restored.get(name) === incarnation) return true;
+    return (this.#listed.get(name) ?? -1) >= incarnation;
   }
 
   /** Applies a read of all entries. */
@@ -200,6 +210,7 @@
     this.#listed = this.#deps.isHub() ? new Map() : undefined;
     const isNewEra = getEra(next) > this.#era;
     this.#era = Math.max(this.#era, getEra(next));
+    if (isNewEra) this.#restored.clear();
     this.#applyUpdates(
       isNewEra
         ? updates.filter((update) => !this.#isOutdated(update))
@@ -248,6 +259,7 @@
     const { self, list } = this.#deps;
     this.#removed.set(name, list.find(name)?.incarnation ?? -1);
     this.#listed?.delete(name);
+    this.#restored.delete(name);
     // A hub considered this VM dead; as long as it serves, it must be counted.
     if (name === self.name) {
       if (!this.#isLeaving) void this.restore(self);
--- a/src/services/forwarding/evacuated_queues.ts
+++ b/src/services/forwarding/evacuated_queues.ts
@@ -30,14 +30,16 @@
   { configuration, dispatch, evacuation }: EvacuatedQueuesDependencies,
   opened: Set<ServerId>,
 ): void {
-  for (const { id, failureDomain } of configuration.state.servers.values()) {
-    if (evacuation.isEvacuated(failureDomain)) {
-      dispatch.openServer(id);
-      opened.add(id);
-    } else if (opened.delete(id)) {
-      dispatch.restoreServer(id);
-    }
+  const evacuated = [...configuration.state.servers.values()]
+    .filter(({ failureDomain }) => evacuation.isEvacuated(failureDomain))
+    .map(({ id }) => id);
+  for (const id of evacuated) dispatch.openServer(id);
+  const ended = [...opened].filter((id) => !evacuated.includes(id));
+  for (const id of ended) {
+    dispatch.restoreServer(id);
+    opened.delete(id);
   }
+  for (const id of evacuated) opened.add(id);
 }
 
 /** The next request of each service limits its concurrency again. */
