--- a/src/services/forwarding/evacuated_queues.ts
+++ b/src/services/forwarding/evacuated_queues.ts
@@ -28,8 +28,11 @@
 function openServers(
   { configuration, dispatch, evacuation }: EvacuatedQueuesDependencies,
 ): void {
-  for (const { id, failureDomain } of configuration.state.servers.values()) {
-    if (evacuation.isEvacuated(failureDomain)) dispatch.openServer(id);
+  const evacuated = [...configuration.state.servers.values()]
+    .filter(({ failureDomain }) => evacuation.isEvacuated(failureDomain))
+    .map(({ id }) => id);
+  for (const id of evacuated) {
+    dispatch.openServer(id);
   }
 }
 
