Add the cost policy behind one overload interface

Cause: requests are refused by priority and the shortest queue only; requests wait in the servers' queues in order of arrival, whatever their refusal costs.

Change: OverloadPolicy is the one interface that Forwarding calls. The former decision is PriorityPolicy and stays the default. Scarcity (--overload-policy cost, or the contract pressure on the platform) starts requests, lets them wait in the VM, or refuses them, by level of priority, target, deadline and expected work. VMs report the work that waits with them in the load messages. FairQueue charges teams by expected work.

--- a/src/daemon/wiring/cell.ts
+++ b/src/daemon/wiring/cell.ts
@@ -19,6 +19,7 @@
 import { Membership } from "../../services/membership/mod.ts";
 import { Presence } from "../../services/presence/mod.ts";
 import { QuotaShards } from "../../services/quota_shards/mod.ts";
+import { NO_BACKLOG_EXCHANGE } from "../../services/scarcity/backlog_exchange.ts";
 import { NO_LOAD_EXCHANGE } from "../../services/selection/load_exchange.ts";
 import { Shares } from "../../services/shares/mod.ts";
 import { createShareLimiter } from "../../services/shares/share_limiter.ts";
@@ -167,6 +168,11 @@
     dependencies: [],
     create: () => NO_LOAD_EXCHANGE,
   }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.BacklogExchange,
+    dependencies: [],
+    create: () => NO_BACKLOG_EXCHANGE,
+  }));
   kernel.add(createServiceDefinition({
     name: ServiceName.DetectionPolicy,
     dependencies: [],
--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -14,7 +14,9 @@
 import { FeedRelay } from "../../services/feed/relay.ts";
 import { ServerRegistry } from "../../services/feed/server_registry.ts";
 import { createFleetEvidence } from "../../services/fleet/evidence.ts";
+import type { Clock } from "../../services/clock/mod.ts";
 import { createFleetLoads } from "../../services/fleet/loads.ts";
+import type { FleetLoads } from "../../services/fleet/loads.ts";
 import { Fleet, UsageKind } from "../../services/fleet/mod.ts";
 import { createFleetTokens } from "../../services/fleet/tokens.ts";
 import { DetectionPolicy } from "../../services/detector/mod.ts";
@@ -95,10 +97,20 @@
       return fleet;
     },
   }));
+  let loads: FleetLoads | undefined;
+  const getLoads = (fleet: Fleet, clock: Clock): FleetLoads =>
+    loads ??= createFleetLoads(fleet, clock);
   kernel.add(createServiceDefinition({
     name: ServiceName.LoadExchange,
-    dependencies: [ServiceName.Fleet],
-    create: (find) => createFleetLoads(find(ServiceName.Fleet)),
+    dependencies: [ServiceName.Fleet, ServiceName.Clock],
+    create: (find) =>
+      getLoads(find(ServiceName.Fleet), find(ServiceName.Clock)),
+  }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.BacklogExchange,
+    dependencies: [ServiceName.Fleet, ServiceName.Clock],
+    create: (find) =>
+      getLoads(find(ServiceName.Fleet), find(ServiceName.Clock)),
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.EvidenceExchange,
--- a/src/daemon/wiring/request_path.ts
+++ b/src/daemon/wiring/request_path.ts
@@ -13,6 +13,7 @@
 import { Forwarding } from "../../services/forwarding/mod.ts";
 import { Shutdown } from "../../services/planned_stop/shutdown.ts";
 import { Overload } from "../../services/overload/mod.ts";
+import { addOverloadPolicy } from "./overload_policy.ts";
 import { Selection } from "../../services/selection/mod.ts";
 import { ServerNotices } from "../../services/server_notices/mod.ts";
 
@@ -129,6 +130,7 @@
     dependencies: [ServiceName.Random],
     create: (find) => new Overload(find(ServiceName.Random)),
   }));
+  addOverloadPolicy(kernel);
   kernel.add(createServiceDefinition({
     name: ServiceName.UpstreamClient,
     dependencies: [],
@@ -150,6 +152,7 @@
       ServiceName.ServerNotices,
       ServiceName.Dispatch,
       ServiceName.Overload,
+      ServiceName.OverloadPolicy,
       ServiceName.UpstreamClient,
       ServiceName.Metrics,
       ServiceName.Random,
@@ -167,6 +170,7 @@
         notices: find(ServiceName.ServerNotices),
         dispatch: find(ServiceName.Dispatch),
         overload: find(ServiceName.Overload),
+        overloadPolicy: find(ServiceName.OverloadPolicy),
         upstream: find(ServiceName.UpstreamClient),
         metrics: find(ServiceName.Metrics),
         random: find(ServiceName.Random),
--- a/src/model/process.ts
+++ b/src/model/process.ts
@@ -28,3 +28,17 @@
   /** The store of the users' platform. */
   Platform = "platform",
 }
+
+/** Policies for requests of a service without enough capacity. */
+export enum OverloadPolicyKind {
+  /** Refuses requests of lower priority while the queue is too long. */
+  Priority = "priority",
+  /** Lets requests wait in the VM, or refuses them, by what that costs. */
+  Cost = "cost",
+}
+
+/** Behaviour beyond the default that a deployment asks for. */
+export enum Feature {
+  /** Requests are admitted by what their wait or refusal costs. */
+  CostAdmission = "cost_admission",
+}
--- a/src/services/catalog.ts
+++ b/src/services/catalog.ts
@@ -35,6 +35,7 @@
 import type { OperatorFront } from "./operator_front/mod.ts";
 import type { OperatorServer } from "./operator_front/mod.ts";
 import type { Overload } from "./overload/mod.ts";
+import type { OverloadPolicy } from "./overload/policy.ts";
 import type { FleetStop } from "./planned_stop/fleet_stop.ts";
 import type { PlannedStop } from "./planned_stop/mod.ts";
 import type { Shutdown } from "./planned_stop/shutdown.ts";
@@ -45,6 +46,7 @@
 import type { Random } from "./random/mod.ts";
 import type { Relay } from "./relay/mod.ts";
 import type { QuotaShards } from "./quota_shards/mod.ts";
+import type { BacklogExchange } from "./scarcity/backlog_exchange.ts";
 import type { LoadExchange } from "./selection/load_exchange.ts";
 import type { Selection } from "./selection/mod.ts";
 import type { Shares } from "./shares/mod.ts";
@@ -79,6 +81,7 @@
   ServerNotices = "server_notices",
   Dispatch = "dispatch",
   Overload = "overload",
+  OverloadPolicy = "overload_policy",
   UpstreamClient = "upstream_client",
   Forwarding = "forwarding",
   CallerServer = "caller_server",
@@ -90,6 +93,7 @@
   RetryBudget = "retry_budget",
   FleetRetryBudget = "fleet_retry_budget",
   LoadExchange = "load_exchange",
+  BacklogExchange = "backlog_exchange",
   DetectionPolicy = "detection_policy",
   DocumentSource = "document_source",
   ServerSource = "server_source",
@@ -141,6 +145,7 @@
   [ServiceName.ServerNotices]: ServerNotices;
   [ServiceName.Dispatch]: Dispatch;
   [ServiceName.Overload]: Overload;
+  [ServiceName.OverloadPolicy]: OverloadPolicy;
   [ServiceName.UpstreamClient]: UpstreamClient;
   [ServiceName.Forwarding]: Forwarding;
   [ServiceName.CallerServer]: CallerServer;
@@ -152,6 +157,7 @@
   [ServiceName.RetryBudget]: RetryBudget;
   [ServiceName.FleetRetryBudget]: FleetRetryBudget;
   [ServiceName.LoadExchange]: LoadExchange;
+  [ServiceName.BacklogExchange]: BacklogExchange;
   [ServiceName.DetectionPolicy]: DetectionPolicy;
   [ServiceName.DocumentSource]: FeedSource<DocumentUpdate>;
   [ServiceName.ServerSource]: FeedSource<ServerUpdate>;
--- a/src/services/dispatch/fair_queue.ts
+++ b/src/services/dispatch/fair_queue.ts
@@ -8,11 +8,17 @@
 export interface FairOptions extends QueueAddOptions {
   /** Team of the job; jobs of one team run in the order they were added. */
   readonly team: string;
+  /**
+   * Expected work; teams get equal shares of its sum.
+   * @default 1
+   */
+  readonly work?: number;
 }
 
 interface QueuedJob {
   readonly run: QueuedRun;
   readonly id: string | undefined;
+  readonly work: number;
   /** Virtual time at which the job would start if all teams had equal shares. */
   start: number;
 }
@@ -27,7 +33,7 @@
 
 /**
  * Orders jobs by virtual start time: each team with waiting jobs gets an equal
- * share of the dispatches, however many jobs it adds.
+ * share of the dispatched work, however many jobs it adds.
  *
  * All state is removed once the queue is empty, which bounds memory.
  */
@@ -49,8 +55,9 @@
       finish: this.#virtualTime,
     };
     const start = Math.max(this.#virtualTime, queue.finish);
-    queue.jobs.push({ run, id: options?.id, start });
-    queue.finish = start + 1;
+    const work = options?.work ?? 1;
+    queue.jobs.push({ run, id: options?.id, work, start });
+    queue.finish = start + work;
     this.#teams.set(team, queue);
     this.#size += 1;
   }
@@ -88,9 +95,10 @@
         job.id === idOrRun || job.run === idOrRun
       );
       if (index === -1) continue;
+      const work = queue.jobs[index]?.work ?? 0;
       queue.jobs.splice(index, 1);
-      for (const later of queue.jobs.slice(index)) later.start -= 1;
-      queue.finish -= 1;
+      for (const later of queue.jobs.slice(index)) later.start -= work;
+      queue.finish -= work;
       this.#size -= 1;
       this.#removeAllIfEmpty();
       return;
--- a/src/services/dispatch/mod.ts
+++ b/src/services/dispatch/mod.ts
@@ -25,6 +25,11 @@
   readonly service: ServiceId;
   /** Empty for callers without a team. */
   readonly team: TeamId;
+  /**
+   * Expected work, by which teams of the service share its slots.
+   * @default 1
+   */
+  readonly work?: number;
   /** Aborts when the result is no longer needed. */
   readonly signal: AbortSignal;
 }
@@ -101,7 +106,7 @@
     const ran = queue.add(async (): Promise<DispatchResult<T>> => {
       request.signal.removeEventListener("abort", cancel);
       return { kind: DispatchKind.Ran, value: await job() };
-    }, { team: request.team, id });
+    }, { team: request.team, id, work: request.work ?? 1 });
     return await Promise.race([ran, cancelled]);
   }
 
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -10,7 +10,9 @@
 import { Counter } from "../metrics/mod.ts";
 import type { Shutdown } from "../planned_stop/shutdown.ts";
 import type { Random } from "../random/mod.ts";
-import { OverloadKind } from "../overload/mod.ts";
+import { VerdictKind } from "../overload/policy.ts";
+import type { OverloadPolicy, PolicyRequest } from "../overload/policy.ts";
+import { computeRetryAfterMs } from "../overload/retry_delay.ts";
 import { FailureImpact } from "../selection/mod.ts";
 import { computeHedgeDelayMs } from "./hedge_delay.ts";
 import { ResponseBodyKind } from "./response_body.ts";
@@ -32,13 +34,6 @@
 
 /** Maximum number of unreachable servers before a request is abandoned. */
 const UNREACHABLE_SERVERS_LIMIT = 3;
-/** Minimum retry delay that a refused caller is given, in milliseconds. */
-const RETRY_AFTER_MIN_MS = 100;
-/**
- * Range of the random extra retry delay in milliseconds, so that callers that
- * were refused together don't all return at once.
- */
-const RETRY_AFTER_SPREAD_MS = 300;
 /**
  * Range of the random extra delay after a pause of all servers, relative to the
  * pause: the longer it is, the more callers have been told to return.
@@ -50,6 +45,7 @@
   readonly random: Random;
   readonly shutdown: Shutdown;
   readonly retryBudget: RetryBudget;
+  readonly overloadPolicy: OverloadPolicy;
 }
 
 /** An attempt in progress. */
@@ -125,19 +121,51 @@
     waitSignal: AbortSignal,
   ): Promise<Refusal | undefined> {
     const { plan } = context;
-    const { dispatch, selection } = this.#deps;
-    const { service } = plan;
     const paused = this.#checkPaused(plan);
     if (paused !== undefined) return await this.#refuse(context, paused);
-    const overloaded = this.#checkOverload(plan);
-    if (overloaded !== undefined) {
-      return await this.#refuse(context, overloaded);
+    const verdict = await this.#deps.overloadPolicy.admit(
+      createPolicyRequest(plan),
+      waitSignal,
+    );
+    switch (verdict.kind) {
+      case VerdictKind.Start:
+        try {
+          return await this.#runInTurn(context, waitSignal, verdict.work);
+        } finally {
+          verdict.complete();
+        }
+      case VerdictKind.Refuse:
+        return await this.#refuse(
+          context,
+          createRefusal(
+            RefusalKind.Overloaded,
+            Step.Queue,
+            verdict.retryAfterMs,
+          ),
+        );
+      case VerdictKind.Cancelled:
+        return await this.#refuse(
+          context,
+          createWaitingRefusal(context.signal, Step.Queue),
+        );
     }
+  }
+
+  /** Runs a request's attempts when it is its team's turn at the service. */
+  async #runInTurn(
+    context: RequestContext,
+    waitSignal: AbortSignal,
+    work: number,
+  ): Promise<Refusal | undefined> {
+    const { plan } = context;
+    const { dispatch, selection } = this.#deps;
+    const { service } = plan;
     dispatch.setServiceConcurrency(service, selection.countSlots(service));
     const result = await dispatch.run(
       {
         service,
         team: plan.team?.id ?? "",
+        work,
         signal: waitSignal,
       },
       () => this.#runAttempts(context),
@@ -173,45 +201,6 @@
     );
   }
 
-  /** Returns a refusal if the service is too overloaded for the request. */
-  #checkOverload(plan: RequestPlan): Refusal | undefined {
-    const { clock, overload, selection, logger } = this.#deps;
-    const { route, service, priority } = plan;
-    const now = clock.now();
-    const queueMs = selection.getQueueMs(service);
-    const remainingMs = plan.deadlineAt - now;
-    const decision = overload.evaluate({
-      service,
-      route: route.id,
-      priority,
-      queueMs,
-      targetMs: route.targetMs,
-      remainingMs,
-    }, now);
-    switch (decision.kind) {
-      case OverloadKind.Accepted:
-        return undefined;
-      case OverloadKind.Refused: {
-        logger.info("service is overloaded; refusing the request", {
-          request: plan.attempt ?? "",
-          service,
-          route: route.id,
-          priority,
-          reason: decision.reason,
-          queueMs: Math.round(queueMs),
-          leftMs: Math.round(remainingMs),
-          excessMs: Math.round(decision.excessMs),
-        });
-        const retryAfterMs = this.#computeRetryAfterMs(decision.excessMs);
-        return createRefusal(
-          RefusalKind.Overloaded,
-          Step.Queue,
-          retryAfterMs,
-        );
-      }
-    }
-  }
-
   /** Tries servers in turn until one responds or no more may be tried. */
   async #runAttempts(context: RequestContext): Promise<Refusal | undefined> {
     const { plan } = context;
@@ -424,16 +413,19 @@
     const queueMs = selection.getQueueMs(plan.service);
     const pauseMs = selection.getPauseMs(plan.service) *
       (1 + this.#deps.random() * PAUSE_SPREAD_RATIO);
-    return this.#computeRetryAfterMs(Math.max(queueMs, pauseMs));
-  }
-
-  #computeRetryAfterMs(ms: number): number {
-    const spreadMs = this.#deps.random() * RETRY_AFTER_SPREAD_MS;
-    return Math.max(RETRY_AFTER_MIN_MS, ms) + spreadMs;
+    return computeRetryAfterMs(
+      Math.max(queueMs, pauseMs),
+      this.#deps.random,
+    );
   }
 
   #acquireRetry(plan: RequestPlan): boolean {
     if (!plan.preset.retries) return false;
+    if (
+      !this.#deps.overloadPolicy.checkSecondOffer(createPolicyRequest(plan))
+    ) {
+      return false;
+    }
     if (!this.#deps.retryBudget.acquire(getScope(plan))) {
       this.#deps.logger.info("retry budget exhausted; no further attempt", {
         request: plan.attempt ?? "",
@@ -499,6 +491,20 @@
   }
 }
 
+function createPolicyRequest(plan: RequestPlan): PolicyRequest {
+  const { route, service, priority, arrivedAt, deadlineAt } = plan;
+  return {
+    id: plan.attempt ?? "",
+    service,
+    route: route.id,
+    team: plan.team?.id ?? "",
+    priority,
+    targetMs: route.targetMs,
+    arrivedAt,
+    deadlineAt,
+  };
+}
+
 function getScope(plan: RequestPlan): RetryScope {
   return {
     service: plan.service,
--- a/src/services/forwarding/refusals_test.ts
+++ b/src/services/forwarding/refusals_test.ts
@@ -27,9 +27,10 @@
 import type { Detector } from "../detector/mod.ts";
 import { Dispatch } from "../dispatch/mod.ts";
 import { FreshnessKind } from "../freshness/mod.ts";
-import type { LogFields } from "../logging/mod.ts";
+import type { LogFields, Logger } from "../logging/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import { Overload } from "../overload/mod.ts";
+import { createPriorityPolicy } from "../overload/priority_policy.ts";
 import { Shutdown } from "../planned_stop/shutdown.ts";
 import { createSeededRandom } from "../random/mod.ts";
 import { Selection } from "../selection/mod.ts";
@@ -105,20 +106,25 @@
         : createRefusal(RefusalKind.ConfigurationStale, Step.Freshness),
     getFreshness: () => ({ kind: FreshnessKind.Stale, ageMs: 4_200 }),
   };
+  const selection = new Selection({
+    configuration,
+    detector: detector as Detector,
+    notices,
+    clock,
+    random,
+    loads: { setSource: () => {}, countOthers: () => 0 },
+    failureDomain: "a",
+  });
+  const logger: Logger = {
+    ...SILENT_LOGGER,
+    info: (message, fields) => void lines.push({ message, fields }),
+  };
   const forwarding = new Forwarding({
     admission: admission as ForwardingDependencies["admission"],
     clock,
     detector: detector as Detector,
     notices,
-    selection: new Selection({
-      configuration,
-      detector: detector as Detector,
-      notices,
-      clock,
-      random,
-      loads: { setSource: () => {}, countOthers: () => 0 },
-      failureDomain: "a",
-    }),
+    selection,
     dispatch: new Dispatch(),
     metrics,
     overload,
@@ -128,10 +134,14 @@
       logger: SILENT_LOGGER,
       graceMs: 6_000,
     }),
-    logger: {
-      ...SILENT_LOGGER,
-      info: (message, fields) => void lines.push({ message, fields }),
-    },
+    overloadPolicy: createPriorityPolicy({
+      clock,
+      overload,
+      getQueueMs: (service) => selection.getQueueMs(service),
+      logger,
+      random,
+    }),
+    logger,
     upstream: {
       send: (attempt) => {
         attempts.push(attempt);
--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -22,6 +22,9 @@
   ServerNotices = "server_notices",
   HandlerErrors = "handler_errors",
   UncaughtExceptions = "uncaught_exceptions",
+  ScarcityStarts = "scarcity_starts",
+  ScarcityWaits = "scarcity_waits",
+  ScarcityRefusals = "scarcity_refusals",
 }
 
 /** Help text of each counter, for scrapers. */
@@ -39,6 +42,12 @@
   [Counter.HandlerErrors]:
     "Errors of listeners while they handled input, by service.",
   [Counter.UncaughtExceptions]: "Exceptions that no code caught.",
+  [Counter.ScarcityStarts]:
+    "Requests that the cost policy started, by level of priority.",
+  [Counter.ScarcityWaits]:
+    "Requests that waited in the VM for capacity, by level of priority.",
+  [Counter.ScarcityRefusals]:
+    "Requests refused for lack of capacity, by level of priority.",
   [Counter.Refusals]: "Requests refused without a server's response, by kind.",
 };
 
--- /dev/null
+++ b/src/services/scarcity/service_state.ts
@@ -0,0 +1,43 @@
+/** State of one service in the scarcity policy. */
+import type { ServiceId } from "../../model/mod.ts";
+import type { PolicyRequest, PolicyVerdict } from "../overload/policy.ts";
+import type { ViewKind } from "./capacity_view.ts";
+import { ClassShares } from "./class_shares.ts";
+import { WaitingQueue } from "./waiting_queue.ts";
+import type { WaitingItem } from "./waiting_queue.ts";
+
+/** A request on which the policy decides; times are monotonic, in ms. */
+export interface Candidate extends WaitingItem {
+  readonly request: PolicyRequest;
+  /** Mean deviation of the work. */
+  readonly spreadMs: number;
+  readonly arrivedAt: number;
+  /** Ends the request's wait. */
+  resolve: (verdict: PolicyVerdict) => void;
+}
+
+/** Requests of this VM for one service. */
+export class ServiceState {
+  readonly service: ServiceId;
+  readonly shares = new ClassShares();
+  readonly waiting = new WaitingQueue<Candidate>();
+  /** Number of requests that have started and not ended. */
+  running = 0;
+  /** Number of requests that ended since the last check. */
+  completions = 0;
+  /** Monotonic time of the last check of waiting requests, in milliseconds. */
+  checkedAt = 0;
+  isCheckScheduled = false;
+  /** What the last decision was based on; undefined before the first. */
+  viewKind: ViewKind | undefined;
+
+  constructor(service: ServiceId) {
+    this.service = service;
+  }
+}
+
+/** Returns the time that a request's target leaves for its wait, in ms. */
+export function getSlackMs(candidate: Candidate): number {
+  const { targetAt, arrivedAt, workMs, spreadMs } = candidate;
+  return targetAt - arrivedAt - workMs - spreadMs;
+}
--- a/src/services/selection/mod.ts
+++ b/src/services/selection/mod.ts
@@ -74,6 +74,19 @@
   readonly availability: Availability;
 }
 
+/** Load of a service's admitted servers as known to this VM. */
+export interface ServiceLoad {
+  readonly slots: number;
+  /** Requests in flight of this VM. */
+  readonly ownInFlight: number;
+  /** Requests in flight of the other VMs; undefined if not reported. */
+  readonly othersInFlight: number | undefined;
+  /** Share of the servers that shed a request lately, 0 to 1. */
+  readonly shedRatio: number;
+  /** Typical processing time in a free slot in ms; 0 if not known. */
+  readonly processingMs: number;
+}
+
 /** Latency and load of a backend server that an attempt observed. */
 export interface AttemptReport {
   /** Time to the complete response in ms; undefined if not representative. */
@@ -150,6 +163,33 @@
       .reduce((sum, server) => sum + server.slots, 0);
   }
 
+  /** Returns the load of all admitted servers of a service. */
+  getServiceLoad(service: ServiceId): ServiceLoad {
+    const { clock, loads } = this.#deps;
+    const now = clock.now();
+    const admitted = this.#listAdmitted(service, new Set());
+    let slots = 0;
+    let ownInFlight = 0;
+    let othersInFlight: number | undefined = 0;
+    let shed = 0;
+    for (const server of admitted) {
+      const load = this.#getLoad(server.id);
+      const others = loads.countOthers(server.id);
+      slots += server.slots;
+      ownInFlight += load.inFlight;
+      shed += load.isFull(now) ? 1 : 0;
+      if (others === undefined) othersInFlight = undefined;
+      else if (othersInFlight !== undefined) othersInFlight += others;
+    }
+    return {
+      slots,
+      ownInFlight,
+      othersInFlight,
+      shedRatio: shed / Math.max(1, admitted.length),
+      processingMs: this.#processingMs.get(service) ?? 0,
+    };
+  }
+
   /**
    * Returns the shortest expected wait for a slot, in milliseconds.
    *
--- a/src/services/selection/server_load.ts
+++ b/src/services/selection/server_load.ts
@@ -62,6 +62,11 @@
     return typicalMs + (this.#latencyMs - typicalMs) * weight;
   }
 
+  /** Whether the server shed a request lately. */
+  isFull(now: number): boolean {
+    return now < this.#fullUntil;
+  }
+
   /** Whether one more request would get a free slot, as far as is known. */
   hasHeadroom(slots: number): boolean {
     return this.inFlight + this.#reportedOthers < slots;
@@ -99,7 +104,7 @@
       (othersInFlight ?? this.#getReportedOthers(now));
     const load = BUSY_RATIO * ahead / slots +
       this.computeQueueDepth(slots, now, othersInFlight);
-    const fullMs = now < this.#fullUntil ? typicalMs : 0;
+    const fullMs = this.isFull(now) ? typicalMs : 0;
     return this.getLatencyMs(typicalMs, now) * (1 + load) + fullMs;
   }
 
--- a/src/settings/daemon_settings.ts
+++ b/src/settings/daemon_settings.ts
@@ -1,7 +1,12 @@
 /** Settings of the daemon, resolved once into a frozen object. */
 import * as z from "zod";
 import { ADDRESS_TTL_MS, LOG_RETENTION_MS } from "../constants.ts";
-import { Backing, LogFormat, LogLevel } from "../model/mod.ts";
+import {
+  Backing,
+  LogFormat,
+  LogLevel,
+  OverloadPolicyKind,
+} from "../model/mod.ts";
 import type { CellId, Incarnation, VmName } from "../model/mod.ts";
 import {
   addressSchema,
@@ -76,6 +81,10 @@
   readonly cores: number;
   /** Bandwidth of this VM's link, in Mbit/s. */
   readonly linkMbps: number;
+  /** Policy by which requests are refused when capacity is scarce. */
+  readonly overloadPolicy: OverloadPolicyKind;
+  /** The platform's contracts of this deployment, as it names them. */
+  readonly contracts: readonly string[];
   /** Least severe level that is logged. */
   readonly logLevel: LogLevel;
   /** Format of log lines. */
@@ -220,6 +229,16 @@
     schema: countSchema,
     fallback: "1000",
   },
+  "overload-policy": {
+    description: "who is refused when capacity is scarce: priority or cost",
+    schema: z.enum(OverloadPolicyKind),
+    fallback: OverloadPolicyKind.Priority,
+  },
+  "contracts": {
+    description: "comma-separated contracts of the platform's deployment",
+    schema: listSchema,
+    fallback: "",
+  },
   "settings": {
     description: "path of the platform's settings file; accepted but not read",
     schema: z.string(),
@@ -286,6 +305,8 @@
       retryWindowMs: values["retry-window-ms"],
       cores: values["cores"],
       linkMbps: values["link-mbps"],
+      overloadPolicy: values["overload-policy"],
+      contracts: values["contracts"],
       logLevel: values["log-level"],
       logFormat: values["log-format"],
     }),
--- a/tests/feed_world.ts
+++ b/tests/feed_world.ts
@@ -320,7 +320,7 @@
       if (vm.isLeaving) return VmPhase.Leaving;
       return freshness.isFresh() ? VmPhase.Serving : VmPhase.Starting;
     });
-    const loads = createFleetLoads(fleet);
+    const loads = createFleetLoads(fleet, clock);
     loads.setSource(() => new Map([["s1", 1]]));
     const registry = new ServerRegistry({ configuration, logger });
     const relay = new FeedRelay({
