--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,6 +4,7 @@
 import { runIdleBench } from "./idle.ts";
 import { runOverloadBench, runRetryBench } from "./overload.ts";
 import { runPathBench } from "./path.ts";
+import { runScarcityBench } from "./scarcity.ts";
 import { runSharesBench } from "./shares.ts";
 import { runSlopesBench } from "./slopes.ts";
 
@@ -13,6 +14,7 @@
   overload: runOverloadBench,
   path: runPathBench,
   retry: runRetryBench,
+  scarcity: runScarcityBench,
   shares: runSharesBench,
   slopes: runSlopesBench,
 };
--- a/src/daemon/wiring/overload_policy.ts
+++ b/src/daemon/wiring/overload_policy.ts
@@ -62,17 +62,14 @@
 
 function createScarcity(find: Finder<Services>): OverloadPolicy {
   const selection = find(ServiceName.Selection);
-  const overload = find(ServiceName.Overload);
   const backlog = find(ServiceName.BacklogExchange);
   const scarcity = new Scarcity({
     clock: find(ServiceName.Clock),
     random: find(ServiceName.Random),
     logger: find(ServiceName.Logging).createLogger("scarcity"),
     metrics: find(ServiceName.Metrics),
-    getView: (service, ownStarted) =>
-      createCapacityView({ selection, backlog, service, ownStarted }),
-    getProcessingTime: (service, route) =>
-      overload.getProcessingTime(service, route),
+    getView: (service, workMs, ownStarted) =>
+      createCapacityView({ selection, backlog, service, workMs, ownStarted }),
   });
   backlog.setBacklogSource(() => scarcity.sumBacklog());
   return scarcity;
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -16,6 +16,7 @@
 import { Counter } from "../metrics/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { Overload } from "../overload/mod.ts";
+import type { OverloadPolicy } from "../overload/policy.ts";
 import type { Selection } from "../selection/mod.ts";
 import type { ServerNotices } from "../server_notices/mod.ts";
 import {
@@ -64,6 +65,7 @@
   readonly upstream: UpstreamClient;
   readonly metrics: Metrics;
   readonly overload: Overload;
+  readonly overloadPolicy: OverloadPolicy;
   readonly logger: Logger;
   /** Prefix of attempt ids, unique to this start of the daemon. */
   readonly attemptPrefix: string;
@@ -84,8 +86,8 @@
     server: Server,
     signal: AbortSignal,
   ): Promise<AttemptResult> {
-    const { dispatch, selection, detector, overload, clock, metrics } =
-      this.#deps;
+    const { dispatch, selection, detector, clock, metrics } = this.#deps;
+    const { overload, overloadPolicy } = this.#deps;
     const selectedAt = clock.now();
     return await dispatch.runOnServer(server.id, async () => {
       // The server or the caller's key may have changed during the wait.
@@ -119,9 +121,13 @@
           hadCapacity,
         },
       );
-      if (isProcessed(result) && hadCapacity) {
+      if (isProcessed(result)) {
         const { service, route } = context.plan;
-        overload.recordProcessingTime(service, route.id, latencyMs);
+        overloadPolicy
+          .recordProcessed({ service, route: route.id, latencyMs });
+        if (hadCapacity) {
+          overload.recordProcessingTime(service, route.id, latencyMs);
+        }
       }
       if (response) this.#recordNotices(server, response);
       detector.recordEnd(tracked, getVerdict(result));
--- a/src/services/forwarding/attempt_runner_test.ts
+++ b/src/services/forwarding/attempt_runner_test.ts
@@ -98,6 +98,7 @@
     metrics,
     logger,
     overload: { recordProcessingTime: () => {} },
+    overloadPolicy: { recordProcessed: () => {} },
     upstream: {
       send: (attempt: Attempt) =>
         new Promise<AttemptOutcome<UpstreamResponse>>((resolve) => {
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -11,7 +11,7 @@
 import type { Shutdown } from "../planned_stop/shutdown.ts";
 import type { Random } from "../random/mod.ts";
 import { VerdictKind } from "../overload/policy.ts";
-import type { OverloadPolicy, PolicyRequest } from "../overload/policy.ts";
+import type { PolicyRequest } from "../overload/policy.ts";
 import { computeRetryAfterMs } from "../overload/retry_delay.ts";
 import { FailureImpact } from "../selection/mod.ts";
 import { computeHedgeDelayMs } from "./hedge_delay.ts";
@@ -45,7 +45,6 @@
   readonly random: Random;
   readonly shutdown: Shutdown;
   readonly retryBudget: RetryBudget;
-  readonly overloadPolicy: OverloadPolicy;
 }
 
 /** An attempt in progress. */
--- a/src/services/overload/mod.ts
+++ b/src/services/overload/mod.ts
@@ -69,8 +69,6 @@
 export interface ProcessingTime {
   /** Moving average in milliseconds; 0 without samples. */
   readonly typicalMs: number;
-  /** Moving average of the deviation from it, in milliseconds. */
-  readonly spreadMs: number;
   readonly samples: number;
 }
 
@@ -78,8 +76,6 @@
 interface RouteState {
   /** Typical processing time in ms; undefined before the first record. */
   processingMs: number | undefined;
-  /** Moving average of the deviation from it, in milliseconds. */
-  spreadMs: number;
   /** Number of records of its processing time. */
   samples: number;
   /** Longest queue with which it still responds in time, in milliseconds. */
@@ -150,8 +146,6 @@
     const state = getRoute(this.#getService(service), route);
     const before = state.processingMs ?? processingMs;
     state.samples += 1;
-    const deviation = Math.abs(processingMs - before);
-    state.spreadMs += PROCESSING_WEIGHT * (deviation - state.spreadMs);
     state.processingMs = before + PROCESSING_WEIGHT * (processingMs - before);
   }
 
@@ -160,7 +154,6 @@
     const state = this.#services.get(service)?.routes.get(route);
     return {
       typicalMs: state?.processingMs ?? 0,
-      spreadMs: state?.spreadMs ?? 0,
       samples: state?.samples ?? 0,
     };
   }
@@ -222,7 +215,6 @@
   if (existing !== undefined) return existing;
   const created = {
     processingMs: undefined,
-    spreadMs: 0,
     samples: 0,
     toleratedMs: Infinity,
     requestedAt: 0,
--- a/src/services/overload/policy.ts
+++ b/src/services/overload/policy.ts
@@ -39,6 +39,14 @@
   | { readonly kind: VerdictKind.Refuse; readonly retryAfterMs: number }
   | { readonly kind: VerdictKind.Cancelled };
 
+/** Latency of a request that a server processed. */
+export interface ProcessedRequest {
+  readonly service: ServiceId;
+  readonly route: RouteId;
+  /** Time from the attempt's start to the complete response. */
+  readonly latencyMs: number;
+}
+
 /** Decides which requests start, wait or are refused. */
 export interface OverloadPolicy {
   /**
@@ -46,6 +54,8 @@
    * until its deadline or until `signal` aborts.
    */
   admit(request: PolicyRequest, signal: AbortSignal): Promise<PolicyVerdict>;
+  /** Records a processing time, from which work may be estimated. */
+  recordProcessed(processed: ProcessedRequest): void;
   /** Whether a request that a server shed may use one of the few retries. */
   checkSecondOffer(request: PolicyRequest): boolean;
 }
--- a/src/services/overload/priority_policy.ts
+++ b/src/services/overload/priority_policy.ts
@@ -32,6 +32,7 @@
 ): OverloadPolicy {
   return {
     admit: (request) => Promise.resolve(evaluateRequest(deps, request)),
+    recordProcessed: () => {},
     checkSecondOffer: () => true,
   };
 }
--- a/src/services/scarcity/assessment.ts
+++ b/src/services/scarcity/assessment.ts
@@ -14,13 +14,15 @@
  * views that are out of date; with a shorter queue some slots stay free.
  */
 const QUEUE_RATIO = 0.25;
+/** The same while there are no other levels for which the queue must be short. */
+const SINGLE_QUEUE_RATIO = 0.5;
 /**
  * Added for each less urgent level, so that the servers' queues hold room for
  * more urgent requests, which then start at once.
  */
-const QUEUE_RATIO_PER_LEVEL = 0.25;
+const QUEUE_RATIO_PER_LEVEL = 0.5;
 /** Longest such queue, relative to the time that the target leaves for it. */
-const QUEUE_SLACK_RATIO = 0.5;
+const QUEUE_SLACK_RATIO = 0.8;
 /** Minimum share of the capacity that is expected to remain for a level. */
 const MIN_RATE_RATIO = 0.1;
 /** Share of recent requests admitted, below which scarcity will last. */
@@ -38,16 +40,23 @@
   readonly now: number;
 }
 
-/** Computes the longest queue with which a request of a level starts at once. */
+/**
+ * Computes the longest queue with which a request of a level starts at once.
+ *
+ * It is never shorter than that of the least urgent level, so that a request
+ * with a short target is not refused in favour of others.
+ */
 export function computeStartLimitMs(
   { view, shares, now }: Assessment,
   level: number,
   slackMs: number,
 ): number {
+  const { processingMs } = view;
+  if (shares.countLevels(now) <= 1) return processingMs * SINGLE_QUEUE_RATIO;
   const levels = shares.countLessUrgent(level, now);
-  const ratio = QUEUE_RATIO + levels * QUEUE_RATIO_PER_LEVEL;
-  const limitMs = view.processingMs * ratio;
-  return Math.min(limitMs, Math.max(0, slackMs * QUEUE_SLACK_RATIO));
+  const limitMs = processingMs * (QUEUE_RATIO + levels * QUEUE_RATIO_PER_LEVEL);
+  const inTimeMs = Math.min(limitMs, slackMs * QUEUE_SLACK_RATIO);
+  return Math.max(processingMs * QUEUE_RATIO, inTimeMs);
 }
 
 /** Computes the time until the waiting requests up to a level have started. */
--- a/src/services/scarcity/capacity_source.ts
+++ b/src/services/scarcity/capacity_source.ts
@@ -10,18 +10,20 @@
   readonly selection: Selection;
   readonly backlog: BacklogExchange;
   readonly service: ServiceId;
+  /** Expected work of a request of any route, in slot-milliseconds. */
+  readonly workMs: number;
   /** Requests that the policy has started at this VM and that run. */
   readonly ownStarted: number;
 }
 
 /** Creates the current view of a service. */
 export function createCapacityView(
-  { selection, backlog, service, ownStarted }: ViewInputs,
+  { selection, backlog, service, workMs, ownStarted }: ViewInputs,
 ): CapacityView {
   const { othersInFlight, ...load } = selection.getServiceLoad(service);
   const own = {
     slots: load.slots,
-    processingMs: load.processingMs,
+    processingMs: workMs,
     // Some requests have started and not yet reached a server.
     ownInFlight: Math.max(load.ownInFlight, ownStarted),
     shedRatio: load.shedRatio,
--- a/src/services/scarcity/capacity_view.ts
+++ b/src/services/scarcity/capacity_view.ts
@@ -25,7 +25,7 @@
 interface OwnView {
   /** Slots of all usable servers. */
   readonly slots: number;
-  /** Typical processing time of a request in a free slot, in milliseconds. */
+  /** Expected work of a request of any route, in slot-milliseconds. */
   readonly processingMs: number;
   /** This VM's requests in flight. */
   readonly ownInFlight: number;
@@ -74,13 +74,19 @@
   }
 }
 
-/** Computes the expected wait for a slot at the servers, in milliseconds. */
-export function computeQueueMs(view: CapacityView): number {
+/**
+ * Computes the expected wait for a slot at the servers, relative to the work of
+ * a request.
+ */
+export function computeQueueRatio(view: CapacityView): number {
   const excess = Math.max(0, computeInFlight(view) - view.slots);
-  const countedMs = excess / Math.max(1, view.slots) * view.processingMs;
   // Servers that shed have longer queues than the counts suggest.
-  const shedMs = view.shedRatio * view.processingMs;
-  return Math.max(countedMs, shedMs);
+  return Math.max(excess / Math.max(1, view.slots), view.shedRatio);
+}
+
+/** Computes the same in milliseconds. */
+export function computeQueueMs(view: CapacityView): number {
+  return computeQueueRatio(view) * view.processingMs;
 }
 
 /** Sums the work that waits at other VMs up to and including a level. */
--- a/src/services/scarcity/class_shares.ts
+++ b/src/services/scarcity/class_shares.ts
@@ -82,6 +82,11 @@
     return total > 0 ? sum(uses.slice(0, level)) / total : 0;
   }
 
+  /** Counts the levels that had requests lately. */
+  countLevels(now: number): number {
+    return this.countLessUrgent(-1, now);
+  }
+
   /** Counts the levels after `level` that had requests lately. */
   countLessUrgent(level: number, now: number): number {
     return this.#levels.slice(level + 1, URGENCY_LEVELS)
--- a/src/services/scarcity/decision.ts
+++ b/src/services/scarcity/decision.ts
@@ -32,7 +32,7 @@
 export interface ScarcityDemand {
   /** Expected wait for a slot at the servers. */
   readonly queueMs: number;
-  /** Longest such wait with which a request of this level starts at once. */
+  /** Longest wait in total with which a request of this level starts at once. */
   readonly startLimitMs: number;
   /** Expected time until the waiting requests that go first have started. */
   readonly aheadMs: number;
@@ -54,14 +54,13 @@
 }
 
 /**
- * Expected wait, relative to the longest with which the response is in time, up
- * to which every request may wait, and from which none may. Between the two an
- * increasing share is refused, since a threshold would make all VMs switch at
- * the same time. Above the upper value the variation of work makes responses
- * late.
+ * Expected wait up to which every request may wait, and from which none may: 0
+ * is the wait with which it would start at once, 1 the longest with which its
+ * response is in time. Between the two an increasing share is refused, since a
+ * threshold would make all VMs switch at the same time.
  */
-const ALL_WAIT_RATIO = 0.2;
-const NONE_WAIT_RATIO = 0.8;
+const ALL_WAIT_RATIO = 0.35;
+const NONE_WAIT_RATIO = 0.9;
 /**
  * Longest expected wait in the lane `Late`, relative to the time left: a
  * request that is refused after three quarters of its time has cost its whole
@@ -73,7 +72,7 @@
 export function evaluateDemand(demand: ScarcityDemand): ScarcityDecision {
   const { queueMs, aheadMs, workMs, remainingMs } = demand;
   if (queueMs >= remainingMs) return createRefusal(ScarcityReason.CannotFinish);
-  if (aheadMs === 0 && queueMs <= demand.startLimitMs) {
+  if (queueMs + aheadMs <= demand.startLimitMs) {
     return { kind: ScarcityKind.Start, isFloor: false };
   }
   if (demand.isExempt) return { kind: ScarcityKind.Start, isFloor: true };
@@ -91,9 +90,10 @@
 
 function isWaitUseful(demand: ScarcityDemand): boolean {
   const slackMs = demand.targetLeftMs - demand.workMs - demand.spreadMs;
-  if (slackMs <= 0) return false;
+  const rangeMs = slackMs - demand.startLimitMs;
+  if (rangeMs <= 0) return false;
   const waitMs = (demand.queueMs + demand.aheadMs) * demand.teamFactor;
-  const excess = waitMs / slackMs - ALL_WAIT_RATIO;
+  const excess = (waitMs - demand.startLimitMs) / rangeMs - ALL_WAIT_RATIO;
   return demand.draw >= excess / (NONE_WAIT_RATIO - ALL_WAIT_RATIO);
 }
 
--- a/src/services/scarcity/mod.ts
+++ b/src/services/scarcity/mod.ts
@@ -13,12 +13,12 @@
 import type { Logger } from "../logging/mod.ts";
 import { Counter } from "../metrics/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
-import type { ProcessingTime } from "../overload/mod.ts";
 import { VerdictKind } from "../overload/policy.ts";
 import type {
   OverloadPolicy,
   PolicyRequest,
   PolicyVerdict,
+  ProcessedRequest,
 } from "../overload/policy.ts";
 import type { Random } from "../random/mod.ts";
 import {
@@ -28,14 +28,18 @@
 } from "./assessment.ts";
 import type { Assessment } from "./assessment.ts";
 import type { BacklogByService } from "./backlog_exchange.ts";
-import { computeQueueMs, getLevel, ViewKind } from "./capacity_view.ts";
+import {
+  computeQueueMs,
+  computeQueueRatio,
+  ViewKind,
+} from "./capacity_view.ts";
 import type { CapacityView } from "./capacity_view.ts";
 import { evaluateDemand, ScarcityKind, ScarcityReason } from "./decision.ts";
 import type { ScarcityDemand, WaitLane } from "./decision.ts";
 import { DrawPurpose, Draws } from "./draws.ts";
 import { formatAgeMs, formatAssessment, formatRequest } from "./log_fields.ts";
 import { computeRetryDelayMs } from "./retry_delay.ts";
-import { getSlackMs, ServiceState } from "./service_state.ts";
+import { createCandidate, getSlackMs, ServiceState } from "./service_state.ts";
 import type { Candidate } from "./service_state.ts";
 import { computeStarts } from "./starts.ts";
 
@@ -57,13 +61,15 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  /** Returns a service's capacity; `ownStarted` requests of this VM run. */
-  readonly getView: (service: ServiceId, ownStarted: number) => CapacityView;
-  /** Returns the recorded processing time of a route. */
-  readonly getProcessingTime: (
+  /**
+   * Returns a service's capacity; `workMs` is the expected work of a request,
+   * and `ownStarted` requests of this VM run.
+   */
+  readonly getView: (
     service: ServiceId,
-    route: string,
-  ) => ProcessingTime;
+    workMs: number,
+    ownStarted: number,
+  ) => CapacityView;
 }
 
 /** Admits requests by the cost of their wait or refusal. */
@@ -83,7 +89,7 @@
     signal: AbortSignal,
   ): Promise<PolicyVerdict> {
     const state = this.#getState(request.service);
-    const candidate = this.#createCandidate(request);
+    const candidate = createCandidate(request, state);
     const assessment = this.#createAssessment(state);
     const demand = this.#createDemand(candidate, assessment);
     const decision = evaluateDemand(demand);
@@ -100,9 +106,15 @@
     }
   }
 
+  recordProcessed({ service, route, latencyMs }: ProcessedRequest): void {
+    const state = this.#getState(service);
+    const { view } = this.#createAssessment(state);
+    state.work.record(route, latencyMs, computeQueueRatio(view));
+  }
+
   checkSecondOffer(request: PolicyRequest): boolean {
     const state = this.#getState(request.service);
-    const candidate = this.#createCandidate(request);
+    const candidate = createCandidate(request, state);
     const demand = this.#createDemand(candidate, this.#createAssessment(state));
     const waitMs = demand.queueMs + demand.aheadMs;
     // A retry for a request that would be late anyway is lost to the others.
@@ -137,8 +149,6 @@
       work: Math.max(1, workMs),
       complete: () => {
         state.running -= 1;
-        state.completions += 1;
-        if (state.waiting.size > 0) this.#runCheck(state);
       },
     };
   }
@@ -219,7 +229,6 @@
     state.waiting.expireTargets(queueMs, now);
     const starts = computeStarts(state, assessment, this.#deps.random);
     state.checkedAt = now;
-    state.completions = 0;
     for (let count = 0; count < starts; count += 1) {
       const next = state.waiting.getFirst();
       if (next === undefined) break;
@@ -229,7 +238,8 @@
   }
 
   #createAssessment(state: ServiceState): Assessment {
-    const view = this.#deps.getView(state.service, state.running);
+    const { meanMs } = state.work.getAll();
+    const view = this.#deps.getView(state.service, meanMs, state.running);
     this.#recordViewKind(state, view);
     return {
       view,
@@ -258,26 +268,6 @@
     }
   }
 
-  #createCandidate(request: PolicyRequest): Candidate {
-    const { service, route, arrivedAt, deadlineAt } = request;
-    const { typicalMs, spreadMs } = this.#deps.getProcessingTime(
-      service,
-      route,
-    );
-    const targetAt = arrivedAt + (request.targetMs ?? Infinity);
-    return {
-      request,
-      team: request.team,
-      level: getLevel(request.priority),
-      workMs: typicalMs,
-      spreadMs,
-      arrivedAt,
-      targetAt: Math.min(targetAt, deadlineAt),
-      deadlineAt,
-      resolve: () => {},
-    };
-  }
-
   #createDemand(candidate: Candidate, assessment: Assessment): ScarcityDemand {
     const { level, workMs, spreadMs, team } = candidate;
     const { now, shares, view } = assessment;
--- a/src/services/scarcity/service_state.ts
+++ b/src/services/scarcity/service_state.ts
@@ -1,10 +1,12 @@
 /** State of one service in the scarcity policy. */
 import type { ServiceId } from "../../model/mod.ts";
 import type { PolicyRequest, PolicyVerdict } from "../overload/policy.ts";
+import { getLevel } from "./capacity_view.ts";
 import type { ViewKind } from "./capacity_view.ts";
 import { ClassShares } from "./class_shares.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
 import type { WaitingItem } from "./waiting_queue.ts";
+import { WorkEstimates } from "./work_estimates.ts";
 
 /** A request on which the policy decides; times are monotonic, in ms. */
 export interface Candidate extends WaitingItem {
@@ -20,11 +22,10 @@
 export class ServiceState {
   readonly service: ServiceId;
   readonly shares = new ClassShares();
+  readonly work = new WorkEstimates();
   readonly waiting = new WaitingQueue<Candidate>();
   /** Number of requests that have started and not ended. */
   running = 0;
-  /** Number of requests that ended since the last check. */
-  completions = 0;
   /** Monotonic time of the last check of waiting requests, in milliseconds. */
   checkedAt = 0;
   isCheckScheduled = false;
@@ -36,6 +37,27 @@
   }
 }
 
+/** Creates a candidate with its expected work. */
+export function createCandidate(
+  request: PolicyRequest,
+  { work }: ServiceState,
+): Candidate {
+  const { route, arrivedAt, deadlineAt } = request;
+  const { meanMs, spreadMs } = work.get(route);
+  const targetAt = arrivedAt + (request.targetMs ?? Infinity);
+  return {
+    request,
+    team: request.team,
+    level: getLevel(request.priority),
+    workMs: meanMs,
+    spreadMs,
+    arrivedAt,
+    targetAt: Math.min(targetAt, deadlineAt),
+    deadlineAt,
+    resolve: () => {},
+  };
+}
+
 /** Returns the time that a request's target leaves for its wait, in ms. */
 export function getSlackMs(candidate: Candidate): number {
   const { targetAt, arrivedAt, workMs, spreadMs } = candidate;
--- a/src/services/scarcity/starts.ts
+++ b/src/services/scarcity/starts.ts
@@ -6,24 +6,28 @@
   computeStartLimitMs,
 } from "./assessment.ts";
 import type { Assessment } from "./assessment.ts";
+import { computeInFlight } from "./capacity_view.ts";
 import { getSlackMs } from "./service_state.ts";
 import type { ServiceState } from "./service_state.ts";
 
 /**
- * Time after which all VMs know of a start, in milliseconds: the reports of two
- * hubs. Slots that are free are taken over this time, because a VM that takes
- * its share at once takes it again until the others' starts are known.
+ * Time over which free slots are taken, in milliseconds. All VMs know of a start
+ * after about 250 ms, the reports of two hubs; a VM that takes its share sooner
+ * takes it again before it knows of the others' starts. From 2.5 times that
+ * delay the number in flight does not oscillate.
  */
-const PROPAGATION_MS = 250;
+const SETTLING_MS = 600;
+/** The same for each millisecond by which the view is older. */
+const SETTLING_PER_AGE_MS = 2.5;
 /** Excess of requests in flight at which no ended request is replaced. */
-const NO_REPLACEMENT_RATIO = 0.2;
+const NO_REPLACEMENT_RATIO = 1;
 
 /**
  * Computes how many waiting requests start now.
  *
- * A request that ends is replaced by a waiting one of the same VM, which keeps
- * the number in flight and needs no view of the others. In addition, each VM
- * takes its share of the slots that the view shows as free.
+ * All VMs together replace the requests that end, less those that more urgent
+ * levels start without a wait, and take the slots that the view shows as free.
+ * Each VM's share is that of the waiting work.
  */
 export function computeStarts(
   state: ServiceState,
@@ -32,18 +36,20 @@
 ): number {
   const first = state.waiting.getFirst();
   if (first === undefined) return 0;
-  const { view, now } = assessment;
+  const { view, shares, now } = assessment;
   const level = state.waiting.getLevel(first);
   const limitMs = computeStartLimitMs(assessment, level, getSlackMs(first));
   const free = computeFreeSlots(assessment, level, limitMs);
-  const share = computeOwnShare(assessment, level);
   const ageMs = Number.isFinite(view.ageMs) ? view.ageMs : 0;
+  const settlingMs = SETTLING_MS + ageMs * SETTLING_PER_AGE_MS;
   const elapsedMs = now - state.checkedAt;
-  const part = Math.min(1, elapsedMs / (PROPAGATION_MS + ageMs));
+  const taken = Math.max(0, free) * Math.min(1, elapsedMs / settlingMs);
   const excess = Math.max(0, -free) / Math.max(1, view.slots);
-  const replaced = Math.max(0, 1 - excess / NO_REPLACEMENT_RATIO);
-  const expected = Math.max(0, free) * share * part +
-    state.completions * replaced;
+  const replacedMs = Math.min(computeInFlight(view), view.slots) * elapsedMs *
+    (1 - shares.getMoreUrgentRatio(level, now)) *
+    Math.max(0, 1 - excess / NO_REPLACEMENT_RATIO);
+  const expected = computeOwnShare(assessment, level) *
+    (taken + replacedMs / Math.max(1, first.workMs));
   // The fraction is drawn, so that many VMs with small shares start their sum.
   const drawn = Math.floor(expected) + (random() < expected % 1 ? 1 : 0);
   return Math.min(drawn, countLevel(state, level));
--- a/src/services/selection/mod.ts
+++ b/src/services/selection/mod.ts
@@ -83,8 +83,6 @@
   readonly othersInFlight: number | undefined;
   /** Share of the servers that shed a request lately, 0 to 1. */
   readonly shedRatio: number;
-  /** Typical processing time in a free slot in ms; 0 if not known. */
-  readonly processingMs: number;
 }
 
 /** Latency and load of a backend server that an attempt observed. */
@@ -186,7 +184,6 @@
       ownInFlight,
       othersInFlight,
       shedRatio: shed / Math.max(1, admitted.length),
-      processingMs: this.#processingMs.get(service) ?? 0,
     };
   }
 
