--- a/bench/scarcity.ts
+++ b/bench/scarcity.ts
@@ -14,9 +14,10 @@
 export async function runScarcityBench(): Promise<void> {
   printLine("value: of responses in time to all requests; by kind: value,");
   printLine("share served, mean wait of served requests in ms");
-  const only = process.env["ONLY"];
+  // Optional third argument: part of the name of the loads to run.
+  const name = process.argv[3] ?? "";
   for (const load of SCARCITY_LOADS) {
-    if (only === undefined || load.name.includes(only)) await printLoad(load);
+    if (load.name.includes(name)) await printLoad(load);
   }
 }
 
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -420,12 +420,11 @@
 
   #acquireRetry(plan: RequestPlan): boolean {
     if (!plan.preset.retries) return false;
-    if (
-      !this.#deps.overloadPolicy.checkSecondOffer(createPolicyRequest(plan))
-    ) {
-      return false;
-    }
-    if (!this.#deps.retryBudget.acquire(getScope(plan))) {
+    const { overloadPolicy, retryBudget } = this.#deps;
+    const isOffered = retryBudget.isAmple(getScope(plan)) ||
+      overloadPolicy.checkSecondOffer(createPolicyRequest(plan));
+    if (!isOffered) return false;
+    if (!retryBudget.acquire(getScope(plan))) {
       this.#deps.logger.info("retry budget exhausted; no further attempt", {
         request: plan.attempt ?? "",
         service: plan.service,
--- a/src/services/forwarding/refusals_test.ts
+++ b/src/services/forwarding/refusals_test.ts
@@ -30,6 +30,8 @@
 import type { LogFields, Logger } from "../logging/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import { Overload } from "../overload/mod.ts";
+import { VerdictKind } from "../overload/policy.ts";
+import type { OverloadPolicy, PolicyVerdict } from "../overload/policy.ts";
 import { createPriorityPolicy } from "../overload/priority_policy.ts";
 import { Shutdown } from "../planned_stop/shutdown.ts";
 import { createSeededRandom } from "../random/mod.ts";
@@ -78,6 +80,7 @@
     attempt: Attempt,
     plans: Fixture["plans"],
   ) => AttemptOutcome<UpstreamResponse> = refuseUnexpected,
+  policy?: OverloadPolicy,
 ): Fixture {
   const time = new VirtualTime();
   const clock = new VirtualClock(time);
@@ -134,7 +137,7 @@
       logger: SILENT_LOGGER,
       graceMs: 6_000,
     }),
-    overloadPolicy: createPriorityPolicy({
+    overloadPolicy: policy ?? createPriorityPolicy({
       clock,
       overload,
       getQueueMs: (service) => selection.getQueueMs(service),
@@ -214,6 +217,55 @@
   assert.equal(line?.fields?.["confirmedAgoMs"], 4_200);
 });
 
+// Guards against a refusal as "not run" of a request that was sent, and against
+// a policy that is not asked or not told of the end.
+for (
+  const [name, verdict, retryAfterMs] of [
+    ["refused", { kind: VerdictKind.Refuse, retryAfterMs: 700 }, 700],
+    ["cancelled", { kind: VerdictKind.Cancelled }, undefined],
+  ] satisfies [string, PolicyVerdict, number | undefined][]
+) {
+  test(`a request that the policy ${name} is not sent`, async () => {
+    const { forwarding, attempts } = createFixture(refuseUnexpected, {
+      admit: () => Promise.resolve(verdict),
+      recordProcessed: () => {},
+      checkSecondOffer: () => true,
+    });
+    const refusals: Refusal[] = [];
+    await forwarding.serve(PLAN, createExchange(refusals));
+    assert.equal(attempts.length, 0);
+    assert.equal(refusals.length, 1);
+    assert.equal(refusals[0]?.run, RunState.NotRun);
+    if (retryAfterMs !== undefined) {
+      assert.equal(refusals[0]?.retryAfterMs, retryAfterMs);
+    }
+  });
+}
+
+// Guards against requests that count as running for ever.
+test("the policy learns of the end of each request that it started", async () => {
+  let running = 0;
+  const { forwarding } = createFixture((_attempt, plans) => {
+    plans.isAllowed = false;
+    const failure = {
+      kind: FailureKind.NoServer,
+      step: Step.Connect,
+      peer: SERVER.id,
+    };
+    return { kind: OutcomeKind.NotRun, failure };
+  }, {
+    admit: () => {
+      running += 1;
+      const complete = (): void => void (running -= 1);
+      return Promise.resolve({ kind: VerdictKind.Start, work: 1, complete });
+    },
+    recordProcessed: () => {},
+    checkSecondOffer: () => true,
+  });
+  await forwarding.serve(PLAN, createExchange([]));
+  assert.equal(running, 0);
+});
+
 // Guards against a refusal that names the server as the cause of an outage of
 // the store.
 test("a request that becomes stale while a connection opens is refused as stale", async () => {
--- a/src/services/overload/policy.ts
+++ b/src/services/overload/policy.ts
@@ -56,6 +56,6 @@
   admit(request: PolicyRequest, signal: AbortSignal): Promise<PolicyVerdict>;
   /** Records a processing time, from which work may be estimated. */
   recordProcessed(processed: ProcessedRequest): void;
-  /** Whether a request that a server shed may use one of the few retries. */
+  /** Whether a request may use one of the retries while few of them remain. */
   checkSecondOffer(request: PolicyRequest): boolean;
 }
--- a/src/services/scarcity/assessment.ts
+++ b/src/services/scarcity/assessment.ts
@@ -67,7 +67,7 @@
   const ownMs = ownWaitingMs.slice(0, level + 1)
     .reduce((total, ms) => total + ms, 0);
   const waitingMs = ownMs + sumOthersWaitingMs(view, level);
-  if (waitingMs === 0) return 0;
+  if (waitingMs === 0 || view.slots === 0) return 0;
   const usedRatio = shares.getMoreUrgentRatio(level, now);
   const rate = Math.max(MIN_RATE_RATIO, 1 - usedRatio) * view.slots;
   return waitingMs / Math.max(1, rate);
--- a/src/services/scarcity/capacity_view.ts
+++ b/src/services/scarcity/capacity_view.ts
@@ -76,12 +76,13 @@
 
 /**
  * Computes the expected wait for a slot at the servers, relative to the work of
- * a request.
+ * a request; 0 without servers, so that the request fails with that cause.
  */
 export function computeQueueRatio(view: CapacityView): number {
+  if (view.slots === 0) return 0;
   const excess = Math.max(0, computeInFlight(view) - view.slots);
   // Servers that shed have longer queues than the counts suggest.
-  return Math.max(excess / Math.max(1, view.slots), view.shedRatio);
+  return Math.max(excess / view.slots, view.shedRatio);
 }
 
 /** Computes the same in milliseconds. */
--- a/src/services/scarcity/decision.ts
+++ b/src/services/scarcity/decision.ts
@@ -38,9 +38,10 @@
   readonly aheadMs: number;
   /** The same for a request of the lane `Late`; infinite if none is served. */
   readonly lateAheadMs: number;
-  /** Expected work of the request in a free slot, and its mean deviation. */
+  /** Expected work of the request in a free slot. */
   readonly workMs: number;
-  readonly spreadMs: number;
+  /** Time that the wait must leave for the variation of the work. */
+  readonly marginMs: number;
   /** Time until the response would be late. */
   readonly targetLeftMs: number;
   /** Time until the deadline. */
@@ -89,7 +90,7 @@
 }
 
 function isWaitUseful(demand: ScarcityDemand): boolean {
-  const slackMs = demand.targetLeftMs - demand.workMs - demand.spreadMs;
+  const slackMs = demand.targetLeftMs - demand.workMs - demand.marginMs;
   const rangeMs = slackMs - demand.startLimitMs;
   if (rangeMs <= 0) return false;
   const waitMs = (demand.queueMs + demand.aheadMs) * demand.teamFactor;
@@ -99,7 +100,7 @@
 
 function isLateWaitUseful(demand: ScarcityDemand): boolean {
   const waitMs = demand.queueMs + demand.lateAheadMs;
-  const endMs = waitMs + demand.workMs + demand.spreadMs;
+  const endMs = waitMs + demand.workMs + Math.max(0, demand.marginMs);
   return endMs <= demand.remainingMs &&
     waitMs <= demand.remainingMs * LATE_WAIT_RATIO;
 }
--- a/src/services/scarcity/mod.ts
+++ b/src/services/scarcity/mod.ts
@@ -39,7 +39,12 @@
 import { DrawPurpose, Draws } from "./draws.ts";
 import { formatAgeMs, formatAssessment, formatRequest } from "./log_fields.ts";
 import { computeRetryDelayMs } from "./retry_delay.ts";
-import { createCandidate, getSlackMs, ServiceState } from "./service_state.ts";
+import {
+  createCandidate,
+  getMarginMs,
+  getSlackMs,
+  ServiceState,
+} from "./service_state.ts";
 import type { Candidate } from "./service_state.ts";
 import { computeStarts } from "./starts.ts";
 
@@ -91,7 +96,7 @@
     const state = this.#getState(request.service);
     const candidate = createCandidate(request, state);
     const assessment = this.#createAssessment(state);
-    const demand = this.#createDemand(candidate, assessment);
+    const demand = this.#createDemand(candidate, state, assessment);
     const decision = evaluateDemand(demand);
     const isAdmitted = decision.kind !== ScarcityKind.Refuse;
     state.shares.recordDecision(candidate.level, isAdmitted, assessment.now);
@@ -115,7 +120,11 @@
   checkSecondOffer(request: PolicyRequest): boolean {
     const state = this.#getState(request.service);
     const candidate = createCandidate(request, state);
-    const demand = this.#createDemand(candidate, this.#createAssessment(state));
+    const demand = this.#createDemand(
+      candidate,
+      state,
+      this.#createAssessment(state),
+    );
     const waitMs = demand.queueMs + demand.aheadMs;
     // A retry for a request that would be late anyway is lost to the others.
     const isWorthIt = waitMs + demand.workMs <= demand.targetLeftMs;
@@ -268,10 +277,14 @@
     }
   }
 
-  #createDemand(candidate: Candidate, assessment: Assessment): ScarcityDemand {
-    const { level, workMs, spreadMs, team } = candidate;
+  #createDemand(
+    candidate: Candidate,
+    state: ServiceState,
+    assessment: Assessment,
+  ): ScarcityDemand {
+    const { level, workMs, team } = candidate;
     const { now, shares, view } = assessment;
-    const slackMs = getSlackMs(candidate);
+    const slackMs = getSlackMs(candidate, state, now);
     const teamFactor = shares.getTeamFactor(team, workMs, now);
     return {
       queueMs: computeQueueMs(view),
@@ -279,7 +292,7 @@
       aheadMs: computeAheadMs(assessment, level),
       lateAheadMs: computeLateAheadMs(assessment),
       workMs,
-      spreadMs,
+      marginMs: getMarginMs(candidate, state, now),
       targetLeftMs: candidate.targetAt - now,
       remainingMs: candidate.deadlineAt - now,
       teamFactor,
--- a/src/services/scarcity/scarcity_test.ts
+++ b/src/services/scarcity/scarcity_test.ts
@@ -202,15 +202,15 @@
           ownWaitingMs: [0, 0, 0, 0],
           now: 0,
         };
-        const spreadMs = input.workMs / 4;
-        const slackMs = input.targetMs - input.workMs - spreadMs;
+        const marginMs = input.workMs / 4;
+        const slackMs = input.targetMs - input.workMs - marginMs;
         const decision = evaluateDemand({
           queueMs: computeQueueMs(assessment.view),
           startLimitMs: computeStartLimitMs(assessment, input.level, slackMs),
           aheadMs: computeAheadMs(assessment, input.level),
           lateAheadMs: computeLateAheadMs(assessment),
           workMs: input.workMs,
-          spreadMs,
+          marginMs,
           targetLeftMs: input.targetMs,
           remainingMs: input.timeoutMs,
           teamFactor: 1,
--- a/src/services/scarcity/service_state.ts
+++ b/src/services/scarcity/service_state.ts
@@ -58,8 +58,28 @@
   };
 }
 
+/**
+ * Returns the part of a request's time that its wait must leave for the
+ * variation of its work.
+ *
+ * It is negative while there are less urgent requests that can be refused
+ * instead: then the request is worth starting even if it is as likely to be
+ * late as in time.
+ */
+export function getMarginMs(
+  { level, spreadMs }: Candidate,
+  { shares }: ServiceState,
+  now: number,
+): number {
+  return shares.countLessUrgent(level, now) > 0 ? -spreadMs : spreadMs;
+}
+
 /** Returns the time that a request's target leaves for its wait, in ms. */
-export function getSlackMs(candidate: Candidate): number {
-  const { targetAt, arrivedAt, workMs, spreadMs } = candidate;
-  return targetAt - arrivedAt - workMs - spreadMs;
+export function getSlackMs(
+  candidate: Candidate,
+  state: ServiceState,
+  now: number,
+): number {
+  const { targetAt, arrivedAt, workMs } = candidate;
+  return targetAt - arrivedAt - workMs - getMarginMs(candidate, state, now);
 }
--- a/src/services/scarcity/starts.ts
+++ b/src/services/scarcity/starts.ts
@@ -37,14 +37,17 @@
   const first = state.waiting.getFirst();
   if (first === undefined) return 0;
   const { view, shares, now } = assessment;
+  // Without servers no wait helps; the request fails with that cause.
+  if (view.slots === 0) return state.waiting.size;
   const level = state.waiting.getLevel(first);
-  const limitMs = computeStartLimitMs(assessment, level, getSlackMs(first));
+  const slackMs = getSlackMs(first, state, now);
+  const limitMs = computeStartLimitMs(assessment, level, slackMs);
   const free = computeFreeSlots(assessment, level, limitMs);
   const ageMs = Number.isFinite(view.ageMs) ? view.ageMs : 0;
   const settlingMs = SETTLING_MS + ageMs * SETTLING_PER_AGE_MS;
   const elapsedMs = now - state.checkedAt;
   const taken = Math.max(0, free) * Math.min(1, elapsedMs / settlingMs);
-  const excess = Math.max(0, -free) / Math.max(1, view.slots);
+  const excess = Math.max(0, -free) / view.slots;
   const replacedMs = Math.min(computeInFlight(view), view.slots) * elapsedMs *
     (1 - shares.getMoreUrgentRatio(level, now)) *
     Math.max(0, 1 - excess / NO_REPLACEMENT_RATIO);
--- a/standins/scarcity_run.ts
+++ b/standins/scarcity_run.ts
@@ -114,7 +114,7 @@
     // VMs have served for some time when the simulation starts.
     for (const kind of this.#options.load.kinds) {
       for (let sample = 0; sample < 50; sample += 1) {
-        vm.recordProcessing(kind.name, kind.workMs * this.#drawFactor());
+        vm.recordProcessing(kind.name, kind.workMs * this.#pickFactor());
       }
     }
     return vm;
@@ -169,7 +169,7 @@
     const kind = this.#pickKind();
     const team = this.#pickTeam();
     const isLong = this.#arrivals() < (long?.share ?? 0);
-    const factor = this.#drawFactor() * (isLong ? long?.factor ?? 1 : 1);
+    const factor = this.#pickFactor() * (isLong ? long?.factor ?? 1 : 1);
     const workMs = kind.workMs * factor;
     return { kind, team, domain, sentAt: this.#time.now, workMs, repeats: 0 };
   }
@@ -269,7 +269,7 @@
         const own = counts[index];
         vm.others = this.#isBlind(vm, index) || own === undefined
           ? undefined
-          : subtractCounts(sum, own);
+          : computeDifference(sum, own);
         // Messages that are later than usual show in the age of the view.
         vm.receivedAt = this.#time.now - (viewMs - VIEW_MS);
       });
@@ -333,7 +333,7 @@
   }
 
   /** Draws a factor of the work with a mean of about 1. */
-  #drawFactor(): number {
+  #pickFactor(): number {
     const radius = Math.sqrt(-2 * Math.log(1 - this.#arrivals()));
     const normal = radius * Math.cos(2 * Math.PI * this.#arrivals());
     const variance = WORK_DEVIATION ** 2;
@@ -352,7 +352,7 @@
   }));
 }
 
-function subtractCounts(sum: VmCounts, own: VmCounts): VmCounts {
+function computeDifference(sum: VmCounts, own: VmCounts): VmCounts {
   return {
     inFlight: sum.inFlight.map((value, index) =>
       value - (own.inFlight[index] ?? 0)
--- a/tests/feed_world.ts
+++ b/tests/feed_world.ts
@@ -21,6 +21,7 @@
   ServerVersion,
 } from "../src/services/feed/source.ts";
 import { createFleetLoads } from "../src/services/fleet/loads.ts";
+import type { FleetLoads } from "../src/services/fleet/loads.ts";
 import {
   Fleet,
   FleetMessageKind,
@@ -39,7 +40,6 @@
 import { Quota } from "../src/services/quota/mod.ts";
 import type { TeamLimiter } from "../src/services/quota/team_limiter.ts";
 import { createSeededRandom } from "../src/services/random/mod.ts";
-import type { LoadExchange } from "../src/services/selection/load_exchange.ts";
 
 /** Names of the failure domains of a {@linkcode World}. */
 export const DOMAINS = ["a", "b", "c"];
@@ -198,7 +198,7 @@
   readonly configuration: Configuration;
   readonly freshness: Confirmations;
   readonly registry: ServerRegistry;
-  readonly loads: LoadExchange;
+  readonly loads: FleetLoads;
   readonly limiter: TeamLimiter;
   readonly stop: AbortController;
   /** Whether its planned stop has started. */
@@ -322,6 +322,7 @@
     });
     const loads = createFleetLoads(fleet, clock);
     loads.setSource(() => new Map([["s1", 1]]));
+    loads.setBacklogSource(() => new Map([["rota", [0, 100.4, 0, 0]]]));
     const registry = new ServerRegistry({ configuration, logger });
     const relay = new FeedRelay({
       clock,
--- a/tests/fleet_test.ts
+++ b/tests/fleet_test.ts
@@ -98,11 +98,17 @@
   }
 });
 
-/** Checks the loads; each VM has one request in flight at the same server. */
+/**
+ * Checks the loads; each VM has one request in flight at the same server, and
+ * 100 ms of work that waits for the same service.
+ */
 function checkLoads(world: World): void {
   for (const vm of world.vms) {
     const others = vm.loads.countOthers("s1");
     assert.equal(others, world.vms.length - 1, vm.name);
+    const waitingMs = vm.loads.getOthersWaitingMs("rota");
+    assert.deepEqual(waitingMs, [0, 100 * (world.vms.length - 1), 0, 0]);
+    assert.ok(vm.loads.getAgeMs() < Infinity, vm.name);
   }
 }
 
