--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import { runMemoryBench } from "./memory.ts";
 import { runOverloadBench, runRetryBench } from "./overload.ts";
 import { runPathBench } from "./path.ts";
+import { runScarcityBench } from "./scarcity.ts";
 import { runSharesBench } from "./shares.ts";
 import { runSlopesBench } from "./slopes.ts";
 
@@ -15,6 +16,7 @@
   overload: runOverloadBench,
   path: runPathBench,
   retry: runRetryBench,
+  scarcity: runScarcityBench,
   shares: runSharesBench,
   slopes: runSlopesBench,
 };
--- a/src/daemon/wiring/request_path.ts
+++ b/src/daemon/wiring/request_path.ts
@@ -16,6 +16,7 @@
 import { Gauge } from "../../services/metrics/mod.ts";
 import { MemoryBudget } from "../../services/memory_budget/mod.ts";
 import { Overload } from "../../services/overload/mod.ts";
+import { addOverloadPolicy } from "./overload_policy.ts";
 import { Selection } from "../../services/selection/mod.ts";
 import { ServerNotices } from "../../services/server_notices/mod.ts";
 
@@ -145,6 +146,7 @@
     dependencies: [ServiceName.Random],
     create: (find) => new Overload(find(ServiceName.Random)),
   }));
+  addOverloadPolicy(kernel);
   kernel.add(createServiceDefinition({
     name: ServiceName.UpstreamClient,
     dependencies: [ServiceName.Metrics],
@@ -189,6 +191,7 @@
       ServiceName.WarmUp,
       ServiceName.Dispatch,
       ServiceName.Overload,
+      ServiceName.OverloadPolicy,
       ServiceName.UpstreamClient,
       ServiceName.Metrics,
       ServiceName.MemoryBudget,
@@ -214,6 +217,7 @@
         warmUp: find(ServiceName.WarmUp),
         dispatch: find(ServiceName.Dispatch),
         overload: find(ServiceName.Overload),
+        overloadPolicy: find(ServiceName.OverloadPolicy),
         upstream: find(ServiceName.UpstreamClient),
         metrics: find(ServiceName.Metrics),
         memory: find(ServiceName.MemoryBudget),
--- a/src/model/process.ts
+++ b/src/model/process.ts
@@ -42,3 +42,17 @@
   serverBytes: Infinity,
   vmBytes: Infinity,
 };
+
+/** Policies for requests of a service without enough capacity. */
+export enum OverloadPolicyKind {
+  /** Refuses requests of lower priority while the queue is too long. */
+  Priority = "priority",
+  /** Lets requests wait in the VM, or refuses them, by what that costs. */
+  Cost = "cost",
+}
+
+/** Behaviour beyond the default that a deployment asks for. */
+export enum Feature {
+  /** Requests are admitted by what their wait or refusal costs. */
+  CostAdmission = "cost_admission",
+}
--- a/src/services/catalog.ts
+++ b/src/services/catalog.ts
@@ -39,6 +39,7 @@
 import type { OperatorFront } from "./operator_front/mod.ts";
 import type { OperatorServer } from "./operator_front/mod.ts";
 import type { Overload } from "./overload/mod.ts";
+import type { OverloadPolicy } from "./overload/policy.ts";
 import type { FleetStop } from "./planned_stop/fleet_stop.ts";
 import type { PlannedStop } from "./planned_stop/mod.ts";
 import type { Shutdown } from "./planned_stop/shutdown.ts";
@@ -49,6 +50,7 @@
 import type { Random } from "./random/mod.ts";
 import type { Relay } from "./relay/mod.ts";
 import type { QuotaShards } from "./quota_shards/mod.ts";
+import type { BacklogExchange } from "./scarcity/backlog_exchange.ts";
 import type { LoadExchange } from "./selection/load_exchange.ts";
 import type { Selection } from "./selection/mod.ts";
 import type { Shares } from "./shares/mod.ts";
@@ -89,6 +91,7 @@
   WarmUp = "warm_up",
   Dispatch = "dispatch",
   Overload = "overload",
+  OverloadPolicy = "overload_policy",
   UpstreamClient = "upstream_client",
   Forwarding = "forwarding",
   CallerServer = "caller_server",
@@ -100,6 +103,7 @@
   RetryBudget = "retry_budget",
   FleetRetryBudget = "fleet_retry_budget",
   LoadExchange = "load_exchange",
+  BacklogExchange = "backlog_exchange",
   DetectionPolicy = "detection_policy",
   DocumentSource = "document_source",
   ServerSource = "server_source",
@@ -158,6 +162,7 @@
   [ServiceName.WarmUp]: WarmUpLimiter;
   [ServiceName.Dispatch]: Dispatch;
   [ServiceName.Overload]: Overload;
+  [ServiceName.OverloadPolicy]: OverloadPolicy;
   [ServiceName.UpstreamClient]: UpstreamClient;
   [ServiceName.Forwarding]: Forwarding;
   [ServiceName.CallerServer]: CallerServer;
@@ -169,6 +174,7 @@
   [ServiceName.RetryBudget]: RetryBudget;
   [ServiceName.FleetRetryBudget]: FleetRetryBudget;
   [ServiceName.LoadExchange]: LoadExchange;
+  [ServiceName.BacklogExchange]: BacklogExchange;
   [ServiceName.DetectionPolicy]: DetectionPolicy;
   [ServiceName.DocumentSource]: FeedSource<OperatorUpdate>;
   [ServiceName.ServerSource]: FeedSource<ServerUpdate>;
--- a/src/services/dispatch/mod.ts
+++ b/src/services/dispatch/mod.ts
@@ -28,6 +28,11 @@
   readonly service: ServiceId;
   /** Empty for callers without a team. */
   readonly team: TeamId;
+  /**
+   * Expected work, by which teams of the service share its slots.
+   * @default 1
+   */
+  readonly work?: number;
   /** Aborts when the result is no longer needed. */
   readonly signal: AbortSignal;
 }
@@ -147,7 +152,7 @@
 
   async #runQueued<T>(
     { queue, fairQueue }: QueueEntry,
-    { team, signal }: Pick<DispatchRequest, "team" | "signal">,
+    { team, signal, work = 1 }: Omit<DispatchRequest, "service">,
     job: () => Promise<T>,
   ): Promise<DispatchResult<T>> {
     if (signal.aborted) return { kind: DispatchKind.Cancelled };
@@ -164,7 +169,7 @@
     const ran = queue.add(async (): Promise<DispatchResult<T>> => {
       signal.removeEventListener("abort", cancel);
       return { kind: DispatchKind.Ran, value: await job() };
-    }, { team, id });
+    }, { team, id, work });
     return await Promise.race([ran, cancelled]);
   }
 
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -20,6 +20,7 @@
 import type { MemoryBudget, MemoryHold } from "../memory_budget/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { Overload } from "../overload/mod.ts";
+import type { OverloadPolicy } from "../overload/policy.ts";
 import type { Selection } from "../selection/mod.ts";
 import type { ServerNotices } from "../server_notices/mod.ts";
 import { PermitKind } from "../warm_up/mod.ts";
@@ -88,6 +89,7 @@
   readonly metrics: Metrics;
   readonly memory: MemoryBudget;
   readonly overload: Overload;
+  readonly overloadPolicy: OverloadPolicy;
   readonly logger: Logger;
   /** Prefix of attempt ids, unique to this start of the daemon. */
   readonly attemptPrefix: string;
@@ -182,7 +184,8 @@
 
   async #sendAttempt(selected: SelectedAttempt): Promise<AttemptResult> {
     const { context, server, selectedAt } = selected;
-    const { selection, detector, overload, clock, metrics } = this.#deps;
+    const { selection, detector, clock, metrics } = this.#deps;
+    const { overload, overloadPolicy } = this.#deps;
     // The server or the caller's key may have changed during the wait.
     const permit = this.#acquirePermit(context, server);
     if (permit === undefined) {
@@ -210,9 +213,13 @@
         hadCapacity,
       },
     );
-    if (isProcessed(result) && hadCapacity) {
+    if (isProcessed(result)) {
       const { service, route } = context.plan;
-      overload.recordProcessingTime(service, route.id, latencyMs);
+      overloadPolicy
+        .recordProcessed({ service, route: route.id, latencyMs });
+      if (hadCapacity) {
+        overload.recordProcessingTime(service, route.id, latencyMs);
+      }
     }
     if (response) this.#recordNotices(server, response);
     this.#recordReachability(server, result);
--- a/src/services/forwarding/attempt_runner_test.ts
+++ b/src/services/forwarding/attempt_runner_test.ts
@@ -131,6 +131,7 @@
     }),
     logger,
     overload: { recordProcessingTime: () => {} },
+    overloadPolicy: { recordProcessed: () => {} },
     upstream: {
       send: (attempt: Attempt) =>
         new Promise<AttemptOutcome<UpstreamResponse>>((resolve) => {
--- a/src/services/forwarding/attempts.ts
+++ b/src/services/forwarding/attempts.ts
@@ -23,6 +23,7 @@
 import { ResponseBodyKind } from "./response_body.ts";
 import type { RetryBudget, RetryScope } from "./retry_budget.ts";
 import type { RetryDelay } from "./retry_delay.ts";
+import { createPolicyRequest } from "./policy_request.ts";
 
 /** Maximum number of unreachable servers before a request is abandoned. */
 const UNREACHABLE_SERVERS_LIMIT = 3;
@@ -305,7 +306,11 @@
 
   #acquireRetry(plan: RequestPlan): boolean {
     if (!plan.preset.retries) return false;
-    if (!this.#deps.retryBudget.acquire(getScope(plan))) {
+    const { overloadPolicy, retryBudget } = this.#deps;
+    const isOffered = retryBudget.isAmple(getScope(plan)) ||
+      overloadPolicy.checkSecondOffer(createPolicyRequest(plan));
+    if (!isOffered) return false;
+    if (!retryBudget.acquire(getScope(plan))) {
       this.#deps.logger.info("retry budget exhausted; no further attempt", {
         request: plan.attempt ?? "",
         service: plan.service,
--- a/src/services/forwarding/evacuation_test.ts
+++ b/src/services/forwarding/evacuation_test.ts
@@ -22,6 +22,7 @@
 import { FreshnessKind } from "../freshness/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import { Overload } from "../overload/mod.ts";
+import { createPriorityPolicy } from "../overload/priority_policy.ts";
 import { Shutdown } from "../planned_stop/shutdown.ts";
 import { createSeededRandom } from "../random/mod.ts";
 import { Selection } from "../selection/mod.ts";
@@ -139,6 +140,13 @@
       dispatch,
       metrics,
       overload,
+      overloadPolicy: createPriorityPolicy({
+        clock,
+        overload,
+        getQueueMs: (service) => selection.getQueueMs(service),
+        logger,
+        random,
+      }),
       shutdown: new Shutdown({ clock, overload, logger, graceMs: 6_000 }),
       logger,
       upstream: {
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -7,13 +7,14 @@
 import { DispatchKind } from "../dispatch/mod.ts";
 import { UNBOUNDED_HOLD } from "../memory_budget/mod.ts";
 import type { MemoryHold } from "../memory_budget/mod.ts";
-import { OverloadKind } from "../overload/mod.ts";
 import type { Shutdown } from "../planned_stop/shutdown.ts";
 import type { Random } from "../random/mod.ts";
 import { Attempts, AttemptsKind } from "./attempts.ts";
 import type { AttemptsDependencies } from "./attempts.ts";
 import type { RequestContext } from "./attempt_runner.ts";
 import { createWaitingRefusal } from "./refusals.ts";
+import { VerdictKind } from "../overload/policy.ts";
+import { createPolicyRequest } from "./policy_request.ts";
 import { readRequestBody } from "./request_body.ts";
 import { Responder } from "./responder.ts";
 import { startRequestWait } from "./request_wait.ts";
@@ -91,8 +92,6 @@
     context: RequestContext,
   ): Promise<Refusal | undefined> {
     const { plan } = context;
-    const { dispatch, selection } = this.#deps;
-    const { service } = plan;
     const evacuated = this.#checkEvacuated(plan);
     if (evacuated !== undefined) {
       return await this.#responder.refuse(context, evacuated);
@@ -101,15 +100,48 @@
     if (paused !== undefined) {
       return await this.#responder.refuse(context, paused);
     }
-    const overloaded = this.#checkOverload(plan);
-    if (overloaded !== undefined) {
-      return await this.#responder.refuse(context, overloaded);
+    const verdict = await this.#deps.overloadPolicy.admit(
+      createPolicyRequest(plan),
+      context.waitSignal,
+    );
+    switch (verdict.kind) {
+      case VerdictKind.Start:
+        try {
+          return await this.#runInTurn(context, verdict.work);
+        } finally {
+          verdict.complete();
+        }
+      case VerdictKind.Refuse:
+        return await this.#responder.refuse(
+          context,
+          createRefusal(
+            RefusalKind.Overloaded,
+            Step.Queue,
+            verdict.retryAfterMs,
+          ),
+        );
+      case VerdictKind.Cancelled:
+        return await this.#responder.refuse(
+          context,
+          createWaitingRefusal(context.signal, Step.Queue),
+        );
     }
+  }
+
+  /** Runs a request's attempts when it is its team's turn at the service. */
+  async #runInTurn(
+    context: RequestContext,
+    work: number,
+  ): Promise<Refusal | undefined> {
+    const { plan } = context;
+    const { dispatch, selection } = this.#deps;
+    const { service } = plan;
     dispatch.setServiceConcurrency(service, selection.countSlots(service));
     const result = await dispatch.run(
       {
         service,
         team: plan.team?.id ?? "",
+        work,
         signal: context.waitSignal,
       },
       () => this.#runAttempts(context),
@@ -176,43 +208,4 @@
       this.#retryDelay.getMs(plan.service),
     );
   }
-
-  /** Returns a refusal if the service is too overloaded for the request. */
-  #checkOverload(plan: RequestPlan): Refusal | undefined {
-    const { clock, overload, selection, logger } = this.#deps;
-    const { route, service, priority } = plan;
-    const now = clock.now();
-    const queueMs = selection.getQueueMs(service);
-    const remainingMs = plan.deadlineAt - now;
-    const decision = overload.evaluate({
-      service,
-      route: route.id,
-      priority,
-      queueMs,
-      targetMs: route.targetMs,
-      remainingMs,
-    }, now);
-    switch (decision.kind) {
-      case OverloadKind.Accepted:
-        return undefined;
-      case OverloadKind.Refused: {
-        logger.info("service is overloaded; refusing the request", {
-          request: plan.attempt ?? "",
-          service,
-          route: route.id,
-          priority,
-          reason: decision.reason,
-          queueMs: Math.round(queueMs),
-          leftMs: Math.round(remainingMs),
-          excessMs: Math.round(decision.excessMs),
-        });
-        const retryAfterMs = this.#retryDelay.computeMs(decision.excessMs);
-        return createRefusal(
-          RefusalKind.Overloaded,
-          Step.Queue,
-          retryAfterMs,
-        );
-      }
-    }
-  }
 }
--- a/src/services/forwarding/refusals_test.ts
+++ b/src/services/forwarding/refusals_test.ts
@@ -27,11 +27,14 @@
 import type { Detector } from "../detector/mod.ts";
 import { Dispatch } from "../dispatch/mod.ts";
 import { FreshnessKind } from "../freshness/mod.ts";
-import type { LogFields } from "../logging/mod.ts";
+import type { LogFields, Logger } from "../logging/mod.ts";
 import { MemoryBudget } from "../memory_budget/mod.ts";
 import { NO_MEMORY_LIMITS } from "../../model/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import { Overload } from "../overload/mod.ts";
+import { VerdictKind } from "../overload/policy.ts";
+import type { OverloadPolicy, PolicyVerdict } from "../overload/policy.ts";
+import { createPriorityPolicy } from "../overload/priority_policy.ts";
 import { Shutdown } from "../planned_stop/shutdown.ts";
 import { createSeededRandom } from "../random/mod.ts";
 import { Selection } from "../selection/mod.ts";
@@ -80,6 +83,7 @@
     attempt: Attempt,
     plans: Fixture["plans"],
   ) => AttemptOutcome<UpstreamResponse> = refuseUnexpected,
+  policy?: OverloadPolicy,
 ): Fixture {
   const time = new VirtualTime();
   const clock = new VirtualClock(time);
@@ -108,22 +112,27 @@
         : createRefusal(RefusalKind.ConfigurationStale, Step.Freshness),
     getFreshness: () => ({ kind: FreshnessKind.Stale, ageMs: 4_200 }),
   };
+  const selection = new Selection({
+    configuration,
+    detector: detector as Detector,
+    notices,
+    clock,
+    random,
+    loads: { setSource: () => {}, countOthers: () => 0 },
+    failureDomain: "a",
+    warmUp: NO_WARM_UP,
+  });
+  const logger: Logger = {
+    ...SILENT_LOGGER,
+    info: (message, fields) => void lines.push({ message, fields }),
+  };
   const forwarding = new Forwarding({
     admission: admission as ForwardingDependencies["admission"],
     clock,
     detector: detector as Detector,
     notices,
     warmUp: NO_WARM_UP,
-    selection: new Selection({
-      configuration,
-      detector: detector as Detector,
-      notices,
-      warmUp: NO_WARM_UP,
-      clock,
-      random,
-      loads: { setSource: () => {}, countOthers: () => 0 },
-      failureDomain: "a",
-    }),
+    selection,
     dispatch: new Dispatch(),
     metrics,
     memory: new MemoryBudget({
@@ -139,10 +148,14 @@
       logger: SILENT_LOGGER,
       graceMs: 6_000,
     }),
-    logger: {
-      ...SILENT_LOGGER,
-      info: (message, fields) => void lines.push({ message, fields }),
-    },
+    overloadPolicy: policy ?? createPriorityPolicy({
+      clock,
+      overload,
+      getQueueMs: (service) => selection.getQueueMs(service),
+      logger,
+      random,
+    }),
+    logger,
     upstream: {
       send: (attempt) => {
         attempts.push(attempt);
@@ -228,6 +241,61 @@
   assert.equal(line?.fields?.["confirmedAgoMs"], 4_200);
 });
 
+// Guards against a refusal as "not run" of a request that was sent, and against
+// a policy that is not asked or not told of the end.
+for (
+  const [name, verdict, retryAfterMs] of [
+    ["refused", { kind: VerdictKind.Refuse, retryAfterMs: 700 }, 700],
+    ["cancelled", { kind: VerdictKind.Cancelled }, undefined],
+  ] satisfies [string, PolicyVerdict, number | undefined][]
+) {
+  test(`a request that the policy ${name} is not sent`, async () => {
+    const { forwarding, attempts } = createFixture(refuseUnexpected, {
+      admit: () => Promise.resolve(verdict),
+      recordProcessed: () => {},
+      checkSecondOffer: () => true,
+    });
+    const refusals: Refusal[] = [];
+    const exchange = createExchange(refusals);
+    const wait = forwarding.startWait(PLAN, exchange);
+    await forwarding.serve(PLAN, exchange, wait);
+    wait.close();
+    assert.equal(attempts.length, 0);
+    assert.equal(refusals.length, 1);
+    assert.equal(refusals[0]?.run, RunState.NotRun);
+    if (retryAfterMs !== undefined) {
+      assert.equal(refusals[0]?.retryAfterMs, retryAfterMs);
+    }
+  });
+}
+
+// Guards against requests that count as running for ever.
+test("the policy learns of the end of each request that it started", async () => {
+  let running = 0;
+  const { forwarding } = createFixture((_attempt, plans) => {
+    plans.isAllowed = false;
+    const failure = {
+      kind: FailureKind.NoServer,
+      step: Step.Connect,
+      peer: SERVER.id,
+    };
+    return { kind: OutcomeKind.NotRun, failure };
+  }, {
+    admit: () => {
+      running += 1;
+      const complete = (): void => void (running -= 1);
+      return Promise.resolve({ kind: VerdictKind.Start, work: 1, complete });
+    },
+    recordProcessed: () => {},
+    checkSecondOffer: () => true,
+  });
+  const exchange = createExchange([]);
+  const wait = forwarding.startWait(PLAN, exchange);
+  await forwarding.serve(PLAN, exchange, wait);
+  wait.close();
+  assert.equal(running, 0);
+});
+
 // Guards against a refusal that names the server as the cause of an outage of
 // the store.
 test("a request that becomes stale while a connection opens is refused as stale", async () => {
--- a/src/services/forwarding/retry_delay.ts
+++ b/src/services/forwarding/retry_delay.ts
@@ -1,15 +1,9 @@
 /** Decides when refused callers should return. */
 import type { ServiceId } from "../../model/mod.ts";
+import { computeRetryAfterMs } from "../overload/retry_delay.ts";
 import type { Random } from "../random/mod.ts";
 import type { Selection } from "../selection/mod.ts";
 
-/** Minimum retry delay that a refused caller is given, in milliseconds. */
-const RETRY_AFTER_MIN_MS = 100;
-/**
- * Range of the random extra retry delay in milliseconds, so that callers that
- * were refused together don't all return at once.
- */
-const RETRY_AFTER_SPREAD_MS = 300;
 /**
  * Range of the random extra delay after a pause of all servers, relative to the
  * pause: the longer it is, the more callers have been told to return.
@@ -41,7 +35,6 @@
 
   /** Adds jitter to a time after which capacity is expected. */
   computeMs(ms: number): number {
-    const spreadMs = this.#deps.random() * RETRY_AFTER_SPREAD_MS;
-    return Math.max(RETRY_AFTER_MIN_MS, ms) + spreadMs;
+    return computeRetryAfterMs(ms, this.#deps.random);
   }
 }
--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -29,6 +29,9 @@
   WarmUpPermits = "warm_up_permits",
   HandlerErrors = "handler_errors",
   UncaughtExceptions = "uncaught_exceptions",
+  ScarcityStarts = "scarcity_starts",
+  ScarcityWaits = "scarcity_waits",
+  ScarcityRefusals = "scarcity_refusals",
 }
 
 /** Help text of each counter, for scrapers. */
@@ -59,6 +62,12 @@
     "Requests not run because their connection closed before their turn.",
   [Counter.Evacuations]:
     "Failure domains of which this VM learned that they are evacuated, or in use again.",
+  [Counter.ScarcityStarts]:
+    "Requests that the cost policy started, by level of priority.",
+  [Counter.ScarcityWaits]:
+    "Requests that waited in the VM for capacity, by level of priority.",
+  [Counter.ScarcityRefusals]:
+    "Requests refused for lack of capacity, by level of priority.",
   [Counter.Refusals]: "Requests refused without a server's response, by kind.",
 };
 
--- a/src/settings/daemon_settings.ts
+++ b/src/settings/daemon_settings.ts
@@ -1,7 +1,12 @@
 /** Settings of the daemon, resolved once into a frozen object. */
 import * as z from "zod";
 import { ADDRESS_TTL_MS, LOG_RETENTION_MS } from "../constants.ts";
-import { Backing, LogFormat, LogLevel } from "../model/mod.ts";
+import {
+  Backing,
+  LogFormat,
+  LogLevel,
+  OverloadPolicyKind,
+} from "../model/mod.ts";
 import type {
   CellId,
   Incarnation,
@@ -87,6 +92,10 @@
   readonly pipelineLimit: number;
   /** Limits on the data that is held for callers and servers. */
   readonly memoryLimits: MemoryLimits;
+  /** Policy by which requests are refused when capacity is scarce. */
+  readonly overloadPolicy: OverloadPolicyKind;
+  /** The platform's contracts of this deployment, as it names them. */
+  readonly contracts: readonly string[];
   /** Least severe level that is logged. */
   readonly logLevel: LogLevel;
   /** Format of log lines. */
@@ -256,6 +265,16 @@
     schema: optionalCountSchema,
     fallback: "",
   },
+  "overload-policy": {
+    description: "who is refused when capacity is scarce: priority or cost",
+    schema: z.enum(OverloadPolicyKind),
+    fallback: OverloadPolicyKind.Priority,
+  },
+  "contracts": {
+    description: "comma-separated contracts of the platform's deployment",
+    schema: listSchema,
+    fallback: "",
+  },
   "settings": {
     description: "path of the platform's settings file; accepted but not read",
     schema: z.string(),
@@ -324,6 +343,8 @@
       linkMbps: values["link-mbps"],
       pipelineLimit: values["pipeline-limit"],
       memoryLimits: resolveMemoryLimits(values),
+      overloadPolicy: values["overload-policy"],
+      contracts: values["contracts"],
       logLevel: values["log-level"],
       logFormat: values["log-format"],
     }),
--- a/tests/feed_world.ts
+++ b/tests/feed_world.ts
@@ -22,6 +22,7 @@
   ServerVersion,
 } from "../src/services/feed/source.ts";
 import { createFleetLoads } from "../src/services/fleet/loads.ts";
+import type { FleetLoads } from "../src/services/fleet/loads.ts";
 import {
   Fleet,
   FleetMessageKind,
@@ -40,7 +41,6 @@
 import { Quota } from "../src/services/quota/mod.ts";
 import type { TeamLimiter } from "../src/services/quota/team_limiter.ts";
 import { createSeededRandom } from "../src/services/random/mod.ts";
-import type { LoadExchange } from "../src/services/selection/load_exchange.ts";
 import { MemoryEras, MemoryTopic } from "./memory_topic.ts";
 
 /** Names of the failure domains of a {@linkcode World}. */
@@ -68,7 +68,7 @@
   readonly freshness: Confirmations;
   readonly registry: ServerRegistry;
   readonly evacuations: EvacuatedDomains;
-  readonly loads: LoadExchange;
+  readonly loads: FleetLoads;
   readonly limiter: TeamLimiter;
   readonly stop: AbortController;
   /** Whether its planned stop has started. */
@@ -201,8 +201,9 @@
       if (vm.isLeaving) return VmPhase.Leaving;
       return freshness.isFresh() ? VmPhase.Serving : VmPhase.Starting;
     });
-    const loads = createFleetLoads(fleet);
+    const loads = createFleetLoads(fleet, clock);
     loads.setSource(() => new Map([["s1", 1]]));
+    loads.setBacklogSource(() => new Map([["rota", [0, 100.4, 0, 0]]]));
     const registry = new ServerRegistry({ configuration, logger });
     const evacuations = new EvacuatedDomains({ metrics, logger });
     startEvacuationRelay({ clock, fleet, domains: evacuations });
