--- a/scripts/platform_fleet.ts
+++ b/scripts/platform_fleet.ts
@@ -37,6 +37,15 @@
   readonly burst?: number;
 }
 
+/** Requests to a server that is cold after its return. */
+export interface WarmUpConfig {
+  /** Requests per second that the configuration allows. */
+  readonly perSecond: number;
+  /** Requests in any second above which a cold server crashes. */
+  readonly maxPerSecond: number;
+  readonly coldMs: number;
+}
+
 /** Options of {@linkcode startPlatformFleet}. */
 export interface PlatformFleetOptions {
   /** Number of VMs in each failure domain, in order. */
@@ -48,6 +57,11 @@
    * @default 2
    */
   readonly workMs?: number;
+  /**
+   * Limit of the requests to a cold server, which crashes at more.
+   * @default no limit
+   */
+  readonly warmUp?: WarmUpConfig;
   /**
    * Resolves the port to connect to instead of `port`, such as a proxy's.
    * @default `port` itself
@@ -82,8 +96,15 @@
   publish(teams: readonly TeamConfig[]): void;
   /** Writes a server's entry with the given state and keeps renewing it. */
   announceServer(index: number, state: "ready" | "draining"): void;
+  /** Lets a server return, cold if there is a limit for that. */
+  restoreServer(index: number): void;
   /** Removes a server's entry and stops renewing it. */
   removeServer(index: number): void;
+  /**
+   * Replaces the store's content by a copy that is `ageMs` old. The operator and
+   * the servers write again what it lacks after `rewriteMs`.
+   */
+  restoreStore(ageMs: number, rewriteMs: number): Promise<void>;
   /** Starts a VM's daemon again, on the same ports. */
   startVm(vm: PlatformVm): void;
   /** Stops everything. */
@@ -103,6 +124,7 @@
         startServerStandin({
           name: `i-${index}`,
           workMs: options.workMs ?? 2,
+          maxColdPerSecond: options.warmUp?.maxPerSecond ?? Infinity,
           dialect: PLATFORM_DIALECT,
           formatLoad: ({ running, waiting }, slots) =>
             `${running},${waiting},${slots}`,
@@ -140,6 +162,16 @@
   };
   for (const vm of vms) startVm(vm);
   let version = 0;
+  let newestTeams: readonly TeamConfig[] | undefined;
+  const writeConfiguration = (): void => {
+    if (newestTeams === undefined) return;
+    const configuration = createConfiguration(
+      version,
+      newestTeams,
+      options.warmUp,
+    );
+    store.put("keyed.op", "config", configuration);
+  };
   return {
     group,
     store,
@@ -147,9 +179,21 @@
     vms,
     publish: (teams) => {
       version += 3;
-      store.put("keyed.op", "config", createConfiguration(version, teams));
+      newestTeams = teams;
+      writeConfiguration();
+    },
+    restoreStore: async (ageMs, rewriteMs) => {
+      store.restoreCopy(ageMs);
+      await new Promise((resolve) => setTimeout(resolve, rewriteMs));
+      writeConfiguration();
+      registry.writeRemovals();
     },
     announceServer: registry.announce,
+    restoreServer: (index) => {
+      const coldMs = options.warmUp?.coldMs ?? 0;
+      servers[index]?.startCold(coldMs);
+      registry.announce(index, "ready", coldMs);
+    },
     removeServer: registry.remove,
     startVm,
     stop: async () => {
@@ -169,8 +213,10 @@
 
 /** Writes the servers' entries to the store and renews them. */
 interface Registry {
-  announce(index: number, state: "ready" | "draining"): void;
+  announce(index: number, state: "ready" | "draining", coldMs?: number): void;
   remove(index: number): void;
+  /** Removes the entries of servers that are away once more. */
+  writeRemovals(): void;
   stop(): void;
 }
 
@@ -180,8 +226,12 @@
 ): Registry {
   const states = ports.map((): string | undefined => "ready");
   let sequence = 0;
-  const announce = (index: number, state: string): void => {
+  const coldUntil = ports.map(() => 0);
+  const announce = (index: number, state: string, coldMs?: number): void => {
+    const now = performance.now();
     states[index] = state;
+    if (coldMs !== undefined) coldUntil[index] = now + coldMs;
+    const remainingMs = Math.max(0, (coldUntil[index] ?? 0) - now);
     sequence += 1;
     store.put("keyed.servers", `i-${index}`, {
       Service: SERVICE,
@@ -190,7 +240,7 @@
       Version: "v1",
       Slots: 4,
       State: state,
-      ColdRemaining: "0ms",
+      ColdRemaining: `${Math.round(remainingMs)}ms`,
       Sequence: sequence,
       born: 1,
     });
@@ -207,6 +257,10 @@
       states[index] = undefined;
       store.remove("keyed.servers", `i-${index}`);
     },
+    writeRemovals: () =>
+      states.forEach((state, index) => {
+        if (state === undefined) store.remove("keyed.servers", `i-${index}`);
+      }),
     stop: () => clearInterval(timer),
   };
 }
@@ -269,6 +323,7 @@
 function createConfiguration(
   version: number,
   teams: readonly TeamConfig[],
+  warmUp: WarmUpConfig | undefined,
 ): unknown {
   const route = {
     Host: ROUTE_HOST,
@@ -297,6 +352,8 @@
       MaxConnections: 330,
       Protocol: "h1",
       Tls: false,
+      WarmupPerS: warmUp?.perSecond ?? 0,
+      ColdStart: `${warmUp?.coldMs ?? 0}ms`,
     }],
     Limits: {
       MaxHeaderBytes: 16_384,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -17,6 +17,7 @@
 import type { FaultRecord } from "./faults.ts";
 import { runDepartures } from "./departures.ts";
 import type { DepartureRecord } from "./departures.ts";
+import { runRestores } from "./restores.ts";
 import { listViolations } from "./invariants.ts";
 import { REGRESSION_SEEDS } from "./regressions.ts";
 
@@ -43,6 +44,8 @@
 /** Requests per window that rate and burst allow, plus 10%, plus 20. */
 const TOLERATED_PER_WINDOW = (LIMIT.ratePerS * WINDOW_S + LIMIT.burst) * 1.1 +
   20;
+/** Limit of requests to cold servers; they crash above the tolerated number. */
+const WARM_UP = { perSecond: 3.8, maxPerSecond: 3.8 * 1.5 + 8, coldMs: 3_000 };
 /** Tokens and statuses in flight, in seconds of the rate (docs/PLATFORM.md). */
 const IN_FLIGHT_S = 0.8;
 /** Number of requests that check the fleet after its recovery. */
@@ -51,6 +54,8 @@
 const STICKY_CALLER_INTERVAL = 3;
 /** Added to the seed for departures: they don't alter the faults of a seed. */
 const DEPARTURE_SEED_OFFSET = 1_000_000;
+/** The same for restores of the store. */
+const RESTORE_SEED_OFFSET = 2_000_000;
 
 /** Options of one run. */
 interface SoakOptions {
@@ -93,6 +98,7 @@
     vms: options.vms,
     servers: options.servers,
     workMs: 40,
+    warmUp: WARM_UP,
     resolvePort: async ({ kind, name }, port) => {
       const proxy = new FaultProxy(port);
       proxies.set(`${kind} ${name}`, proxy);
@@ -132,6 +138,14 @@
       },
       ended.signal,
     );
+    const restores = runRestores(
+      {
+        fleet,
+        random: createSeededRandom(seed + RESTORE_SEED_OFFSET),
+        records: faultRecords,
+      },
+      ended.signal,
+    );
     const withdrawnAt = new Map<string, number>();
     const pauses: Promise<void>[] = [];
     for (const [index, share] of WITHDRAWAL_SHARES.entries()) {
@@ -143,7 +157,7 @@
     }
     await waitUntilShare(1);
     ended.abort();
-    await Promise.all([faults, departures, ...pauses]);
+    await Promise.all([faults, departures, restores, ...pauses]);
     const records = (await Promise.all(callers)).flat();
     const recovery = await checkRecovery(fleet);
     const maxPerWindow = computeMaxPerWindow(fleet.vms.length);
--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -10,6 +10,8 @@
 } from "../../services/catalog.ts";
 import type { Services } from "../../services/catalog.ts";
 import { Configuration } from "../../services/configuration/mod.ts";
+import { EvacuatedDomains } from "../../services/evacuation/mod.ts";
+import { startEvacuationRelay } from "../../services/evacuation/relay.ts";
 import { Feed } from "../../services/feed/mod.ts";
 import { FeedRelay } from "../../services/feed/relay.ts";
 import { ServerRegistry } from "../../services/feed/server_registry.ts";
@@ -24,6 +26,7 @@
 import { Quota, resolveLimits } from "../../services/quota/mod.ts";
 import { Readiness } from "../../services/readiness/mod.ts";
 import { Startup } from "../../services/startup/mod.ts";
+import { WarmUp } from "../../services/warm_up/mod.ts";
 import type { DaemonSettings } from "../../settings/mod.ts";
 
 /**
@@ -41,6 +44,7 @@
   addLinks(kernel);
   addFeed(kernel);
   addLimits(kernel);
+  addWarmUp(kernel);
   addLifecycle(kernel);
 }
 
@@ -165,6 +169,30 @@
         logger: find(ServiceName.Logging).createLogger("servers"),
       }),
   }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.EvacuatedDomains,
+    dependencies: [
+      ServiceName.Clock,
+      ServiceName.Fleet,
+      ServiceName.Metrics,
+      ServiceName.Logging,
+    ],
+    create: (find) => {
+      const domains = new EvacuatedDomains({
+        metrics: find(ServiceName.Metrics),
+        logger: find(ServiceName.Logging).createLogger("evacuation"),
+      });
+      const clock = find(ServiceName.Clock);
+      const fleet = find(ServiceName.Fleet);
+      startEvacuationRelay({ clock, fleet, domains });
+      return domains;
+    },
+  }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.Evacuation,
+    dependencies: [ServiceName.EvacuatedDomains],
+    create: (find) => find(ServiceName.EvacuatedDomains),
+  }));
   kernel.add(createServiceDefinition({
     name: ServiceName.FeedRelay,
     dependencies: [
@@ -172,6 +200,7 @@
       ServiceName.Fleet,
       ServiceName.Configuration,
       ServiceName.ServerRegistry,
+      ServiceName.EvacuatedDomains,
       ServiceName.Freshness,
       ServiceName.Random,
       ServiceName.Logging,
@@ -182,6 +211,7 @@
         fleet: find(ServiceName.Fleet),
         configuration: find(ServiceName.Configuration),
         registry: find(ServiceName.ServerRegistry),
+        evacuations: find(ServiceName.EvacuatedDomains),
         freshness: find(ServiceName.Freshness),
         random: find(ServiceName.Random),
         logger: find(ServiceName.Logging).createLogger("configuration"),
@@ -194,6 +224,7 @@
       ServiceName.Random,
       ServiceName.FeedRelay,
       ServiceName.ServerRegistry,
+      ServiceName.EvacuatedDomains,
       ServiceName.DocumentSource,
       ServiceName.ServerSource,
       ServiceName.StoreEras,
@@ -206,6 +237,7 @@
         random: find(ServiceName.Random),
         relay: find(ServiceName.FeedRelay),
         registry: find(ServiceName.ServerRegistry),
+        evacuations: find(ServiceName.EvacuatedDomains),
         documents: find(ServiceName.DocumentSource),
         servers: find(ServiceName.ServerSource),
         eras: find(ServiceName.StoreEras),
@@ -279,6 +311,35 @@
   }));
 }
 
+function addWarmUp(kernel: Kernel<Services>): void {
+  kernel.add(createServiceDefinition({
+    name: ServiceName.WarmUp,
+    dependencies: [
+      ServiceName.Settings,
+      ServiceName.Clock,
+      ServiceName.Configuration,
+      ServiceName.Freshness,
+      ServiceName.Fleet,
+      ServiceName.Metrics,
+      ServiceName.Logging,
+    ],
+    create: (find, scope) => {
+      const fleet = find(ServiceName.Fleet);
+      const warmUp = new WarmUp({
+        vm: find(ServiceName.Settings).vm,
+        clock: find(ServiceName.Clock),
+        configuration: find(ServiceName.Configuration),
+        freshness: find(ServiceName.Freshness),
+        metrics: find(ServiceName.Metrics),
+        logger: find(ServiceName.Logging).createLogger("warm_up"),
+        findRoster: () => fleet.findRoster(),
+      });
+      scope.addStart(() => scope.runTask((signal) => warmUp.run(signal)));
+      return warmUp;
+    },
+  }));
+}
+
 function addLifecycle(kernel: Kernel<Services>): void {
   kernel.add(createServiceDefinition({
     name: ServiceName.Readiness,
--- a/src/daemon/wiring/request_path.ts
+++ b/src/daemon/wiring/request_path.ts
@@ -10,8 +10,10 @@
 import { Admission } from "../../services/admission/mod.ts";
 import { Detector } from "../../services/detector/mod.ts";
 import { Dispatch } from "../../services/dispatch/mod.ts";
+import { startEvacuatedQueues } from "../../services/forwarding/evacuated_queues.ts";
 import { Forwarding } from "../../services/forwarding/mod.ts";
 import { Shutdown } from "../../services/planned_stop/shutdown.ts";
+import { Gauge } from "../../services/metrics/mod.ts";
 import { MemoryBudget } from "../../services/memory_budget/mod.ts";
 import { Overload } from "../../services/overload/mod.ts";
 import { Selection } from "../../services/selection/mod.ts";
@@ -60,15 +62,19 @@
     name: ServiceName.ServerNotices,
     dependencies: [
       ServiceName.Clock,
+      ServiceName.Evacuation,
       ServiceName.Metrics,
       ServiceName.Logging,
     ],
-    create: (find) =>
-      new ServerNotices({
+    create: (find) => {
+      const notices = new ServerNotices({
         clock: find(ServiceName.Clock),
         metrics: find(ServiceName.Metrics),
         logger: find(ServiceName.Logging).createLogger("servers"),
-      }),
+      });
+      notices.setEvacuation(find(ServiceName.Evacuation));
+      return notices;
+    },
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.Detector,
@@ -107,6 +113,7 @@
       ServiceName.Configuration,
       ServiceName.Detector,
       ServiceName.ServerNotices,
+      ServiceName.WarmUp,
       ServiceName.Random,
     ],
     create: (find) =>
@@ -117,13 +124,21 @@
         clock: find(ServiceName.Clock),
         detector: find(ServiceName.Detector),
         notices: find(ServiceName.ServerNotices),
+        warmUp: find(ServiceName.WarmUp),
         random: find(ServiceName.Random),
       }),
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.Dispatch,
-    dependencies: [],
-    create: () => new Dispatch(),
+    dependencies: [ServiceName.Metrics],
+    create: (find) => {
+      const dispatch = new Dispatch();
+      find(ServiceName.Metrics).setGauge(Gauge.ServerTurns, () => {
+        const { running, waiting } = dispatch.countServerJobs();
+        return { running, waiting };
+      });
+      return dispatch;
+    },
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.Overload,
@@ -132,9 +147,13 @@
   }));
   kernel.add(createServiceDefinition({
     name: ServiceName.UpstreamClient,
-    dependencies: [],
-    create: (_find, scope) => {
+    dependencies: [ServiceName.Metrics],
+    create: (find, scope) => {
       const client = createHttpUpstreamClient(dialect);
+      find(ServiceName.Metrics).setGauge(Gauge.ServerConnections, () => {
+        const { inUse, waiting, idle } = client.countConnections();
+        return { in_use: inUse, waiting, idle };
+      });
       scope.addStop(() => client.close());
       return client;
     },
@@ -161,10 +180,13 @@
       ServiceName.Settings,
       ServiceName.Clock,
       ServiceName.Admission,
+      ServiceName.Configuration,
+      ServiceName.Evacuation,
       ServiceName.Shutdown,
       ServiceName.Selection,
       ServiceName.Detector,
       ServiceName.ServerNotices,
+      ServiceName.WarmUp,
       ServiceName.Dispatch,
       ServiceName.Overload,
       ServiceName.UpstreamClient,
@@ -176,6 +198,12 @@
     ],
     create: (find) => {
       const { vm, incarnation } = find(ServiceName.Settings);
+      startEvacuatedQueues({
+        configuration: find(ServiceName.Configuration),
+        dispatch: find(ServiceName.Dispatch),
+        evacuation: find(ServiceName.Evacuation),
+        selection: find(ServiceName.Selection),
+      });
       return new Forwarding({
         clock: find(ServiceName.Clock),
         admission: find(ServiceName.Admission),
@@ -183,6 +211,7 @@
         selection: find(ServiceName.Selection),
         detector: find(ServiceName.Detector),
         notices: find(ServiceName.ServerNotices),
+        warmUp: find(ServiceName.WarmUp),
         dispatch: find(ServiceName.Dispatch),
         overload: find(ServiceName.Overload),
         upstream: find(ServiceName.UpstreamClient),
--- a/src/services/caller_front/caller_front_test.ts
+++ b/src/services/caller_front/caller_front_test.ts
@@ -110,7 +110,10 @@
       metrics: new Metrics(),
       logger: SILENT_LOGGER,
     }),
-    forwarding: { serve } as unknown as Forwarding,
+    forwarding: {
+      serve,
+      startWait: () => ({ close: () => {} }),
+    } as unknown as Forwarding,
     metrics: new Metrics(),
     logger: SILENT_LOGGER,
     pipelineLimit,
--- a/src/services/catalog.ts
+++ b/src/services/catalog.ts
@@ -12,13 +12,14 @@
 import type { DetectionPolicy, Detector } from "./detector/mod.ts";
 import type { EvidenceExchange } from "./detector/evidence_exchange.ts";
 import type { Dispatch } from "./dispatch/mod.ts";
+import type { EvacuatedDomains, EvacuationView } from "./evacuation/mod.ts";
 import type { Feed } from "./feed/mod.ts";
 import type { FeedRelay } from "./feed/relay.ts";
 import type { ServerRegistry } from "./feed/server_registry.ts";
 import type {
-  DocumentUpdate,
   EraSource,
   FeedSource,
+  OperatorUpdate,
   ServerUpdate,
 } from "./feed/source.ts";
 import type { Fleet, FleetMessage, VmDirectory } from "./fleet/mod.ts";
@@ -54,6 +55,7 @@
 import type { ServerNotices } from "./server_notices/mod.ts";
 import type { Snapshots } from "./snapshots/mod.ts";
 import type { Startup } from "./startup/mod.ts";
+import type { WarmUpLimiter } from "./warm_up/mod.ts";
 
 /** Names by which services find each other. */
 export enum ServiceName {
@@ -84,6 +86,7 @@
   Detector = "detector",
   Selection = "selection",
   ServerNotices = "server_notices",
+  WarmUp = "warm_up",
   Dispatch = "dispatch",
   Overload = "overload",
   UpstreamClient = "upstream_client",
@@ -102,6 +105,8 @@
   ServerSource = "server_source",
   StoreEras = "store_eras",
   ServerRegistry = "server_registry",
+  EvacuatedDomains = "evacuated_domains",
+  Evacuation = "evacuation",
   Feed = "feed",
   FeedRelay = "feed_relay",
   FleetTransport = "fleet_transport",
@@ -150,6 +155,7 @@
   [ServiceName.Detector]: Detector;
   [ServiceName.Selection]: Selection;
   [ServiceName.ServerNotices]: ServerNotices;
+  [ServiceName.WarmUp]: WarmUpLimiter;
   [ServiceName.Dispatch]: Dispatch;
   [ServiceName.Overload]: Overload;
   [ServiceName.UpstreamClient]: UpstreamClient;
@@ -164,10 +170,12 @@
   [ServiceName.FleetRetryBudget]: FleetRetryBudget;
   [ServiceName.LoadExchange]: LoadExchange;
   [ServiceName.DetectionPolicy]: DetectionPolicy;
-  [ServiceName.DocumentSource]: FeedSource<DocumentUpdate>;
+  [ServiceName.DocumentSource]: FeedSource<OperatorUpdate>;
   [ServiceName.ServerSource]: FeedSource<ServerUpdate>;
   [ServiceName.StoreEras]: EraSource;
   [ServiceName.ServerRegistry]: ServerRegistry;
+  [ServiceName.EvacuatedDomains]: EvacuatedDomains;
+  [ServiceName.Evacuation]: EvacuationView;
   [ServiceName.Feed]: Feed;
   [ServiceName.FeedRelay]: FeedRelay;
   [ServiceName.FleetTransport]: PeerTransport<FleetMessage>;
--- a/src/services/feed/relay.ts
+++ b/src/services/feed/relay.ts
@@ -11,10 +11,12 @@
   Link,
   ServersRelay,
 } from "../fleet/mod.ts";
+import type { EvacuatedDomains } from "../evacuation/mod.ts";
 import type { FreshnessSource } from "../freshness/mod.ts";
 import type { ConfigurationDocument } from "../../model/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import type { Random } from "../random/mod.ts";
+import { listCold } from "./cold_servers.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 import { ServerOrigin } from "./source.ts";
 
@@ -56,6 +58,7 @@
   readonly fleet: Fleet;
   readonly configuration: Configuration;
   readonly registry: ServerRegistry;
+  readonly evacuations: EvacuatedDomains;
   readonly freshness: FreshnessSource;
   readonly random: Random;
   readonly logger: Logger;
@@ -203,15 +206,17 @@
     return {
       requestedAt: this.#confirmedAt,
       version: this.#deps.configuration.offset,
+      evacuationsAt: this.#deps.evacuations.changedAt,
       serversRequestedAt: this.#serversRequestedAt,
     };
   }
 
   recordRelayed(
-    { requestedAt, version, serversRequestedAt }: Confirmation,
+    { requestedAt, version, evacuationsAt, serversRequestedAt }: Confirmation,
   ): void {
-    const { configuration, freshness } = this.#deps;
+    const { configuration, evacuations, freshness } = this.#deps;
     if (configuration.offset < version || version === 0) return;
+    if (evacuations.upTo < evacuationsAt) return;
     const now = this.#now();
     freshness.recordLogRead(Math.min(requestedAt, now));
     const bothAt = Math.min(requestedAt, serversRequestedAt ?? -Infinity, now);
@@ -225,11 +230,25 @@
     if (document !== undefined && document.version !== version) {
       link.send({ kind: FleetMessageKind.Document, document });
     }
-    if (serversDigest === this.getKnown().serversDigest) return;
+    if (serversDigest === this.getKnown().serversDigest) {
+      return this.#sendCold(link);
+    }
     const message = this.#createServersMessage();
     if (message !== undefined) link.send(message);
   }
 
+  /**
+   * Sends a follower the cold servers. The digest does not contain whether a
+   * server is cold, and the follower may have missed that one is cold again.
+   */
+  #sendCold(link: Link): void {
+    const { configuration, registry } = this.#deps;
+    const { servers } = configuration.state;
+    for (const listing of listCold(registry.list(), servers, this.#now())) {
+      link.send({ kind: FleetMessageKind.ServerSet, listing });
+    }
+  }
+
   #createServersMessage(): ServersRelay | undefined {
     const { registry } = this.#deps;
     if (registry.offset < 0) return undefined;
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -1,5 +1,6 @@
 /** Fleet service: links between VMs, and the hub of each failure domain. */
 import { VmPhase } from "../../model/mod.ts";
+import type { VmName } from "../../model/mod.ts";
 import { runWithTimeout, TIMED_OUT } from "../clock/mod.ts";
 import type { Clock } from "../clock/mod.ts";
 import { formatCause } from "../logging/mod.ts";
@@ -23,11 +24,18 @@
   resolveAcceptedKind,
 } from "./link.ts";
 import { FleetMessageKind, FleetRole } from "./message.ts";
-import type { FleetMessage, LiveVm, UsageKind, VmEntry } from "./message.ts";
+import type {
+  FleetMessage,
+  LiveVm,
+  UsageKind,
+  VmEntry,
+  VmsKnown,
+} from "./message.ts";
 import { LoadReports } from "./load_reports.ts";
 import type { LoadSource } from "./load_reports.ts";
 import { MissingVms } from "./missing_vms.ts";
 import { VmList } from "./vm_list.ts";
+import type { Roster } from "../warm_up/owners.ts";
 
 export { VmUpdateKind } from "./directory.ts";
 export type { VmDirectory, VmUpdate } from "./directory.ts";
@@ -58,8 +66,11 @@
  * servers.
  */
 const LOAD_INTERVAL_MS = 40;
-/** Maximum number of load messages per second, to bound the work of a hub. */
-const LOAD_SENDS_PER_SECOND = 400;
+/**
+ * Maximum number of load messages per second that a hub sends to its followers,
+ * and that it receives from them, to bound its work.
+ */
+const LOAD_MESSAGES_PER_SECOND = 300;
 /** Load checks per message to another domain's hub; that traffic is billed. */
 const DOMAIN_LOAD_CHECKS = 3;
 const MS_PER_SECOND = 1_000;
@@ -148,6 +159,7 @@
         this.#sendVmsKnown(added);
         this.#hubChecks.checkNow();
       },
+      recordRemoved: (name) => this.#sendVmsKnown([], [name]),
     });
     this.#dialer = new Dialer({ ...deps, list, createHello });
     this.#exchange = new StatusExchange({ ...deps, links: this.#links, isHub });
@@ -235,6 +247,20 @@
     return this.#directory.isRead ? this.#list.size : undefined;
   }
 
+  /**
+   * Finds the VMs in the directory, including dead ones.
+   *
+   * Returns undefined until all of them are known, and once this VM leaves. VMs
+   * that start together know each other only after the discovery.
+   */
+  findRoster(): Roster | undefined {
+    const { hasFullList, isLeaving } = this.#directory;
+    const isDiscoveryOver =
+      this.#deps.clock.now() - this.#startedAt >= DISCOVERY_MS;
+    if (!hasFullList || !isDiscoveryOver || isLeaving) return undefined;
+    return { version: this.#list.version, listVms: () => this.#list.list() };
+  }
+
   /** Lists the open links of one kind. */
   listLinks(kind: LinkKind): Link[] {
     return [...this.#links].filter((link) => link.kind === kind);
@@ -340,11 +366,17 @@
         const changes = this.#loads.createChanges(link);
         if (changes !== undefined) link.send(changes);
       }
-      const sendMs = this.#links.size * MS_PER_SECOND / LOAD_SENDS_PER_SECOND;
-      await clock.sleep(Math.max(LOAD_INTERVAL_MS, sendMs), signal);
+      await clock.sleep(this.#computeLoadIntervalMs(), signal);
     }
   }
 
+  /** Computes the interval between checks for changed loads, in milliseconds. */
+  #computeLoadIntervalMs(): number {
+    const domainVms = this.#list.countDomain(this.self.failureDomain);
+    const hubMs = domainVms * MS_PER_SECOND / LOAD_MESSAGES_PER_SECOND;
+    return Math.max(LOAD_INTERVAL_MS, hubMs);
+  }
+
   #listCandidates(): VmEntry[] {
     const { self, clock } = this.#deps;
     const now = clock.now();
@@ -577,8 +609,7 @@
       case FleetMessageKind.Load:
         return this.#loads.applyChanges(message, link);
       case FleetMessageKind.VmsKnown:
-        for (const vm of message.vms) this.#list.add(vm);
-        return;
+        return this.#applyVmsKnown(message);
       case FleetMessageKind.Evidence:
         this.#forwardMessage(message, link);
         handler?.(message, link);
@@ -587,6 +618,7 @@
       case FleetMessageKind.Servers:
       case FleetMessageKind.ServerSet:
       case FleetMessageKind.ServerRemoved:
+      case FleetMessageKind.Evacuations:
       case FleetMessageKind.TokenRequest:
       case FleetMessageKind.TokenGrant:
       case FleetMessageKind.TokenReturned:
@@ -620,11 +652,25 @@
     if (needsHub && !isHubRole(role)) link.close();
   }
 
-  /** Tells the followers about new VMs; each was sent all others at first. */
-  #sendVmsKnown(added: readonly VmEntry[]): void {
+  #applyVmsKnown({ vms, removed }: VmsKnown): void {
+    for (const vm of vms) this.#list.add(vm);
+    for (const name of removed ?? []) {
+      if (name !== this.self.name) this.#list.remove(name);
+    }
+  }
+
+  /**
+   * Tells the followers about new VMs and about those that were removed from
+   * the directory; each was sent all others at first.
+   */
+  #sendVmsKnown(
+    added: readonly VmEntry[],
+    removed: readonly VmName[] = [],
+  ): void {
     this.#sendTo(LinkKind.Follower, {
       kind: FleetMessageKind.VmsKnown,
       vms: added,
+      removed,
     });
   }
 
--- a/src/services/forwarding/attempt_runner.ts
+++ b/src/services/forwarding/attempt_runner.ts
@@ -12,6 +12,7 @@
 import type { Clock } from "../clock/mod.ts";
 import { AttemptVerdict } from "../detector/mod.ts";
 import type { Detector } from "../detector/mod.ts";
+import { DispatchKind } from "../dispatch/mod.ts";
 import type { Dispatch } from "../dispatch/mod.ts";
 import type { Logger } from "../logging/mod.ts";
 import { Counter } from "../metrics/mod.ts";
@@ -21,6 +22,8 @@
 import type { Overload } from "../overload/mod.ts";
 import type { Selection } from "../selection/mod.ts";
 import type { ServerNotices } from "../server_notices/mod.ts";
+import { PermitKind } from "../warm_up/mod.ts";
+import type { Permit, WarmUpLimiter } from "../warm_up/mod.ts";
 import type { ResponseBody } from "./response_body.ts";
 import { checkResponse } from "./response_check.ts";
 import { BodyClaimKind } from "./request_body.ts";
@@ -34,6 +37,8 @@
   readonly body: RequestBody;
   /** Aborts when the caller disconnects or the deadline passes. */
   readonly signal: AbortSignal;
+  /** Aborts with `signal`, and when this VM stops. */
+  readonly waitSignal: AbortSignal;
   /** Bytes that this VM holds for the request. */
   readonly hold: MemoryHold;
 }
@@ -64,6 +69,8 @@
   readonly claim: ClaimedBody;
   /** Cancels the attempt. */
   readonly signal: AbortSignal;
+  /** Cancels the attempt while it was not sent. */
+  readonly waitSignal: AbortSignal;
   /** Monotonic time at which its wait for the server began. */
   readonly selectedAt: number;
 }
@@ -74,6 +81,7 @@
   readonly clock: Clock;
   readonly selection: Selection;
   readonly notices: ServerNotices;
+  readonly warmUp: WarmUpLimiter;
   readonly detector: Detector;
   readonly dispatch: Dispatch;
   readonly upstream: UpstreamClient;
@@ -96,12 +104,12 @@
 
   /**
    * Sends a request to one server, unless another attempt sends its body;
-   * `signal` cancels only this attempt.
+   * `cancelled` cancels only this attempt.
    */
   async run(
     context: RequestContext,
     server: Server,
-    signal: AbortSignal,
+    cancelled: AbortSignal,
   ): Promise<AttemptResult> {
     const selectedAt = this.#deps.clock.now();
     const claim = context.body.claim();
@@ -111,17 +119,48 @@
         return createUnsentResult(server, FailureKind.BodyUnavailable);
       case BodyClaimKind.Claimed:
         try {
-          return await this.#deps.dispatch.runOnServer(
-            server.id,
-            () =>
-              this.#sendBounded({ context, server, claim, signal, selectedAt }),
-          );
+          return await this.#runInTurn({
+            context,
+            server,
+            claim,
+            signal: AbortSignal.any([context.signal, cancelled]),
+            waitSignal: AbortSignal.any([context.waitSignal, cancelled]),
+            selectedAt,
+          });
         } finally {
           claim.release();
         }
     }
   }
 
+  /** Sends an attempt when it is its turn at the server. */
+  async #runInTurn(selected: SelectedAttempt): Promise<AttemptResult> {
+    const { server, waitSignal } = selected;
+    const result = await this.#deps.dispatch.runOnServer(
+      server,
+      waitSignal,
+      () => this.#sendBounded(selected),
+    );
+    switch (result.kind) {
+      case DispatchKind.Ran:
+        return result.value;
+      case DispatchKind.Cancelled:
+        this.#recordEndedWait(selected);
+        return createUnsentResult(server, FailureKind.Cancelled);
+      case DispatchKind.QueueFull:
+        return createUnsentResult(server, FailureKind.QueueFull);
+    }
+  }
+
+  #recordEndedWait(selected: SelectedAttempt): void {
+    const { context, server, selectedAt } = selected;
+    this.#deps.logger.info("the wait for a server ended before its turn", {
+      request: context.plan.attempt ?? "",
+      server: server.id,
+      waitedMs: Math.round(this.#deps.clock.now() - selectedAt),
+    });
+  }
+
   /** Sends an attempt unless its server has too many bytes of bodies already. */
   async #sendBounded(selected: SelectedAttempt): Promise<AttemptResult> {
     const { context, server } = selected;
@@ -145,14 +184,15 @@
     const { context, server, selectedAt } = selected;
     const { selection, detector, overload, clock, metrics } = this.#deps;
     // The server or the caller's key may have changed during the wait.
-    if (!this.#checkSend(context, server)) {
+    const permit = this.#acquirePermit(context, server);
+    if (permit === undefined) {
       return createUnsentResult(server, FailureKind.NoServer);
     }
     this.#recordSend(context, server, clock.now() - selectedAt);
     const tracked = detector.recordStart(server);
     metrics.add(Counter.Attempts);
     const hadCapacity = selection.recordStart(server);
-    const attempt = this.#createAttempt(selected);
+    const attempt = this.#createAttempt(selected, permit);
     const outcome = await this.#deps.upstream.send(attempt);
     const result = outcome.kind === OutcomeKind.Responded
       ? await checkResponse(attempt, outcome.response, clock, context.hold)
@@ -175,6 +215,7 @@
       overload.recordProcessingTime(service, route.id, latencyMs);
     }
     if (response) this.#recordNotices(server, response);
+    this.#recordReachability(server, result);
     detector.recordEnd(tracked, getVerdict(result));
     return result;
   }
@@ -188,6 +229,37 @@
     this.#deps.notices.recordPause(server, response.pauseMs);
   }
 
+  /** Records for the warm-up whether a server may have restarted. */
+  #recordReachability(server: Server, result: AttemptResult): void {
+    const { warmUp } = this.#deps;
+    if (isUnreached(result)) warmUp.recordUnreachable(server);
+    if (isReached(result)) warmUp.recordReached(server);
+  }
+
+  /**
+   * Acquires the permission to send a request to its selected server; undefined
+   * if it may no longer be sent there.
+   */
+  #acquirePermit(context: RequestContext, server: Server): Permit | undefined {
+    if (!this.#checkSend(context, server)) return undefined;
+    const permit = this.#deps.warmUp.acquire(server);
+    if (permit.kind !== PermitKind.Denied) return permit;
+    this.#recordUnsent(context, server, "server is cold");
+    return undefined;
+  }
+
+  /** Whether an attempt may still be sent once its connection is open. */
+  #checkAttempt(
+    context: RequestContext,
+    server: Server,
+    permit: Permit,
+  ): boolean {
+    if (!this.#checkSend(context, server)) return false;
+    if (this.#deps.warmUp.checkPermit(server, permit)) return true;
+    this.#recordUnsent(context, server, "server is cold");
+    return false;
+  }
+
   #recordSend(context: RequestContext, server: Server, waitedMs: number): void {
     this.#deps.logger.info("sending the request to a server", {
       request: context.plan.attempt ?? "",
@@ -198,20 +270,30 @@
   }
 
   /** Whether the request may still be sent to its selected server. */
-  #checkSend({ plan }: RequestContext, server: Server): boolean {
-    const { admission, logger, metrics, selection } = this.#deps;
-    const isAllowed = admission.checkPlan(plan) === undefined;
+  #checkSend(context: RequestContext, server: Server): boolean {
+    const { admission, selection } = this.#deps;
+    const isAllowed = admission.checkPlan(context.plan) === undefined;
     if (isAllowed && selection.isUsable(server)) return true;
+    const reason = isAllowed
+      ? "server is leaving, paused, evacuated or removed"
+      : "request is no longer allowed";
+    this.#recordUnsent(context, server, reason);
+    return false;
+  }
+
+  #recordUnsent(
+    { plan }: RequestContext,
+    server: Server,
+    reason: string,
+  ): void {
+    const { logger, metrics } = this.#deps;
     metrics.add(Counter.LateChoices);
     logger.info("not sending the request to its selected server", {
       request: plan.attempt ?? "",
       server: server.id,
       offset: server.revision,
-      reason: isAllowed
-        ? "server is leaving, paused or removed"
-        : "request is no longer allowed",
+      reason,
     });
-    return false;
   }
 
   #recordFailedClaim({ plan }: RequestContext, server: Server): void {
@@ -221,8 +303,8 @@
     });
   }
 
-  #createAttempt(selected: SelectedAttempt): Attempt {
-    const { context, server, claim, signal } = selected;
+  #createAttempt(selected: SelectedAttempt, permit: Permit): Attempt {
+    const { context, server, claim, signal, waitSignal } = selected;
     const { plan, body } = context;
     this.#attemptCount += 1;
     return {
@@ -237,8 +319,9 @@
       body: claim.chunks,
       remainingMs: plan.deadlineAt - this.#deps.clock.now(),
       mayReuseConnection: plan.route.idempotency === Idempotency.Idempotent,
-      isAllowed: () => this.#checkSend(context, server),
+      isAllowed: () => this.#checkAttempt(context, server, permit),
       signal,
+      waitSignal,
     };
   }
 }
@@ -277,6 +360,20 @@
     result.accepted.response.status < SERVER_ERROR_STATUS;
 }
 
+/** Whether a server responded, if only to refuse the request. */
+function isReached(result: AttemptResult): boolean {
+  return result.kind === OutcomeKind.Responded ||
+    result.failure.kind === FailureKind.Shed;
+}
+
+/** Whether a server refused a connection or could not be reached. */
+function isUnreached(result: AttemptResult): boolean {
+  if (result.kind !== OutcomeKind.NotRun) return false;
+  const { kind } = result.failure;
+  return kind === FailureKind.ConnectionRefused ||
+    kind === FailureKind.TimedOut;
+}
+
 /** Returns the verdict on the server for the result of an attempt. */
 function getVerdict(result: AttemptResult): AttemptVerdict {
   switch (result.kind) {
--- a/src/services/forwarding/attempt_runner_test.ts
+++ b/src/services/forwarding/attempt_runner_test.ts
@@ -19,6 +19,8 @@
 import { Metrics } from "../metrics/mod.ts";
 import { Selection } from "../selection/mod.ts";
 import { ServerNotices } from "../server_notices/mod.ts";
+import { NO_WARM_UP, PermitKind } from "../warm_up/mod.ts";
+import type { WarmUpLimiter } from "../warm_up/mod.ts";
 import { AttemptRunner } from "./attempt_runner.ts";
 import type { AttemptDependencies, RequestContext } from "./attempt_runner.ts";
 import { BodyClaimKind } from "./request_body.ts";
@@ -59,6 +61,7 @@
     }),
   },
   signal: new AbortController().signal,
+  waitSignal: new AbortController().signal,
 } as unknown as RequestContext;
 
 interface Fixture {
@@ -70,6 +73,8 @@
   readonly notices: ServerNotices;
   /** Whether admitted requests may still run. */
   readonly plans: { isAllowed: boolean };
+  /** Whether the server may be sent a request with regard to its warm-up. */
+  readonly permits: { isGranted: boolean };
 }
 
 function createFixture(limits = NO_MEMORY_LIMITS): Fixture {
@@ -84,6 +89,14 @@
     recordLeaving: () => {},
   } as unknown as Detector;
   const plans = { isAllowed: true };
+  const permits = { isGranted: true };
+  const warmUp: WarmUpLimiter = {
+    ...NO_WARM_UP,
+    acquire: () => ({
+      kind: permits.isGranted ? PermitKind.Unneeded : PermitKind.Denied,
+    }),
+    checkPermit: () => permits.isGranted,
+  };
   const metrics = new Metrics();
   const logger = SILENT_LOGGER;
   const notices = new ServerNotices({ clock, metrics, logger });
@@ -97,10 +110,12 @@
     clock,
     detector,
     notices,
+    warmUp,
     selection: new Selection({
       configuration,
       detector,
       notices,
+      warmUp: NO_WARM_UP,
       clock,
       random: () => 0,
       loads: { setSource: () => {}, countOthers: () => 0 },
@@ -135,7 +150,7 @@
     attemptPrefix: "test",
   } as unknown as AttemptDependencies;
   const runner = new AttemptRunner(deps);
-  return { runner, sent, attempts, configuration, notices, plans };
+  return { runner, sent, attempts, configuration, notices, plans, permits };
 }
 
 /** Changes that may happen while a request waits. */
@@ -152,6 +167,8 @@
     notices.recordPause(SERVER, 1_000),
   "its server is removed": ({ configuration }) =>
     configuration.removeServer(SERVER.id),
+  "its server has become cold": ({ permits }) =>
+    void (permits.isGranted = false),
   "its key is withdrawn": ({ plans }) => void (plans.isAllowed = false),
 };
 
@@ -175,6 +192,25 @@
   });
 }
 
+// Guards against a request that waits for a server after its wait has ended.
+test("a request that waits for a server is dropped when its wait ends", async () => {
+  const { runner, sent } = createFixture();
+  const wait = new AbortController();
+  const { signal } = new AbortController();
+  const running = Array.from(
+    { length: SERVER_CONCURRENCY },
+    () => runner.run(CONTEXT, SERVER, signal),
+  );
+  const context = { ...CONTEXT, waitSignal: wait.signal };
+  const waiting = runner.run(context, SERVER, signal);
+  wait.abort();
+  const result = await waiting;
+  assert.equal(result.kind, OutcomeKind.NotRun);
+  for (const end of sent) end();
+  await Promise.all(running);
+  assert.equal(sent.length, SERVER_CONCURRENCY);
+});
+
 for (const [change, apply] of Object.entries(CHANGES)) {
   // Guards against sending on a connection that was opened before a change.
   test(`a request that waits for a connection is not sent once ${change}`, async () => {
--- a/src/services/forwarding/mod.ts
+++ b/src/services/forwarding/mod.ts
@@ -1,5 +1,5 @@
 /** Forwarding service: sends admitted requests to servers until one responds. */
-import { RefusalKind, Step } from "../../model/mod.ts";
+import { RefusalKind, RunState, Step } from "../../model/mod.ts";
 import type { Refusal } from "../../model/mod.ts";
 import { createRefusal } from "../admission/mod.ts";
 import type { RequestPlan } from "../admission/mod.ts";
@@ -16,8 +16,16 @@
 import { createWaitingRefusal } from "./refusals.ts";
 import { readRequestBody } from "./request_body.ts";
 import { Responder } from "./responder.ts";
+import { startRequestWait } from "./request_wait.ts";
+import type { RequestWait } from "./request_wait.ts";
 import { RetryDelay } from "./retry_delay.ts";
 
+/**
+ * Minimum retry delay while all servers of a service are evacuated. Evacuations
+ * end at an unknown time; a second is short compared to their usual duration.
+ */
+const EVACUATED_RETRY_MS = 1_000;
+
 /** Dependencies of {@linkcode Forwarding}. */
 export interface ForwardingDependencies extends AttemptsDependencies {
   readonly random: Random;
@@ -39,8 +47,19 @@
   }
 
   /**
-   * Serves one admitted request; responds to the caller exactly once. What is
-   * buffered for it is added to `hold`.
+   * Starts the lifetime of an admitted request, which bounds all its waits; to
+   * be closed after its response.
+   */
+  startWait(
+    { deadlineAt }: RequestPlan,
+    { signal }: Pick<CallerExchange, "signal">,
+  ): RequestWait {
+    return startRequestWait(this.#deps, deadlineAt, signal);
+  }
+
+  /**
+   * Serves one admitted request; responds to the caller exactly once.
+   * What is buffered for it is added to `hold`.
    *
    * Returns the refusal that the caller got, or undefined if a server's
    * response was forwarded.
@@ -48,42 +67,36 @@
   async serve(
     plan: RequestPlan,
     exchange: CallerExchange,
+    wait: RequestWait,
     hold: MemoryHold = UNBOUNDED_HOLD,
   ): Promise<Refusal | undefined> {
-    const controller = new AbortController();
-    const waiting = new AbortController();
-    const stopWaiting = (): void => waiting.abort();
-    const removeListener = this.#deps.shutdown.addEndListener(stopWaiting);
-    controller.signal.addEventListener("abort", stopWaiting, { once: true });
-    const abortRequest = (): void => controller.abort();
-    const remainingMs = plan.deadlineAt - this.#deps.clock.now();
-    const cancelTimer = this.#deps.clock.startTimer(remainingMs, abortRequest);
-    exchange.signal.addEventListener("abort", abortRequest, { once: true });
-    try {
-      const { signal } = controller;
-      const body = await readRequestBody(exchange.body, waiting.signal, hold);
-      if (body === undefined) {
-        const refusal = createWaitingRefusal(signal, Step.Body);
-        return await this.#responder.refuse({ plan, exchange }, refusal);
-      }
-      return await this.#dispatchRequest(
-        { plan, exchange, body, signal, hold },
-        waiting.signal,
-      );
-    } finally {
-      removeListener();
-      cancelTimer();
+    const { signal, waitSignal } = wait;
+    const body = await readRequestBody(exchange.body, waitSignal, hold);
+    if (body === undefined) {
+      const refusal = createWaitingRefusal(signal, Step.Body);
+      return await this.#responder.refuse({ plan, exchange }, refusal);
     }
+    return await this.#dispatchRequest({
+      plan,
+      exchange,
+      body,
+      signal,
+      waitSignal,
+      hold,
+    });
   }
 
-  /** Runs a request when its turn comes, unless `waitSignal` aborts before. */
+  /** Runs a request when its turn comes, unless its wait ends before. */
   async #dispatchRequest(
     context: RequestContext,
-    waitSignal: AbortSignal,
   ): Promise<Refusal | undefined> {
     const { plan } = context;
     const { dispatch, selection } = this.#deps;
     const { service } = plan;
+    const evacuated = this.#checkEvacuated(plan);
+    if (evacuated !== undefined) {
+      return await this.#responder.refuse(context, evacuated);
+    }
     const paused = this.#checkPaused(plan);
     if (paused !== undefined) {
       return await this.#responder.refuse(context, paused);
@@ -97,7 +110,7 @@
       {
         service,
         team: plan.team?.id ?? "",
-        signal: waitSignal,
+        signal: context.waitSignal,
       },
       () => this.#runAttempts(context),
     );
@@ -129,10 +142,30 @@
         await this.#responder.sendResponse(context, result.accepted);
         return undefined;
       case AttemptsKind.Refused:
-        return await this.#responder.refuse(context, result.refusal);
+        return await this.#responder.refuse(
+          context,
+          this.#resolveRefusal(context.plan, result.refusal),
+        );
     }
   }
 
+  /** Names evacuations as the cause if they left no server to try. */
+  #resolveRefusal(plan: RequestPlan, refusal: Refusal): Refusal {
+    const isUnavailable = refusal.kind === RefusalKind.ServerUnavailable;
+    if (!isUnavailable || refusal.run !== RunState.NotRun) return refusal;
+    return this.#checkEvacuated(plan) ?? refusal;
+  }
+
+  /** Returns a refusal if evacuations leave the service no server. */
+  #checkEvacuated(plan: RequestPlan): Refusal | undefined {
+    if (!this.#deps.selection.hasOnlyEvacuated(plan.service)) return undefined;
+    return createRefusal(
+      RefusalKind.Evacuated,
+      Step.Queue,
+      this.#retryDelay.computeMs(EVACUATED_RETRY_MS),
+    );
+  }
+
   /** Returns a refusal if all servers of the service want no requests now. */
   #checkPaused(plan: RequestPlan): Refusal | undefined {
     const pauseMs = this.#deps.selection.getPauseMs(plan.service);
--- a/src/services/metrics/mod.ts
+++ b/src/services/metrics/mod.ts
@@ -23,7 +23,10 @@
   Pipelined = "pipelined",
   Dropped = "dropped",
   MemoryBounds = "memory_bounds",
+  Evacuations = "evacuations",
   ServerNotices = "server_notices",
+  ColdServers = "cold_servers",
+  WarmUpPermits = "warm_up_permits",
   HandlerErrors = "handler_errors",
   UncaughtExceptions = "uncaught_exceptions",
 }
@@ -41,6 +44,10 @@
   [Counter.StoreEras]: "New eras of the store, which was restored from a copy.",
   [Counter.ServerNotices]:
     "Servers whose responses said that they leave or want a pause, by kind.",
+  [Counter.ColdServers]:
+    "Times at which a server with a warm-up limit became cold.",
+  [Counter.WarmUpPermits]:
+    "Permits to send a request to a cold server, granted or denied.",
   [Counter.HandlerErrors]:
     "Errors of listeners while they handled input, by service.",
   [Counter.UncaughtExceptions]: "Exceptions that no code caught.",
@@ -50,9 +57,27 @@
     "Times that a bound of the memory budget was reached, by bound and effect.",
   [Counter.Dropped]:
     "Requests not run because their connection closed before their turn.",
+  [Counter.Evacuations]:
+    "Failure domains of which this VM learned that they are evacuated, or in use again.",
   [Counter.Refusals]: "Requests refused without a server's response, by kind.",
 };
 
+/** Values that rise and fall; they are read when metrics are formatted. */
+export enum Gauge {
+  ServerConnections = "server_connections",
+  ServerTurns = "server_turns",
+}
+
+/** Help text of each gauge, for scrapers. */
+const GAUGE_HELP: Readonly<Record<Gauge, string>> = {
+  [Gauge.ServerConnections]:
+    "Connections to servers in use and idle, and requests waiting for one.",
+  [Gauge.ServerTurns]: "Requests running or waiting for their turn at servers.",
+};
+
+/** Reads a gauge: its value for each value of its label `state`. */
+export type GaugeReader = () => Readonly<Record<string, number>>;
+
 /** Latency of one route, in milliseconds. */
 export interface LatencyReport {
   readonly count: number;
@@ -72,6 +97,7 @@
 export class Metrics {
   readonly #counters = new Map<string, number>();
   readonly #latencies = new Map<string, Histogram>();
+  readonly #gauges = new Map<Gauge, GaugeReader>();
 
   /** Increments a counter; `label` is the value of its label `kind`, if any. */
   add(counter: Counter, label = ""): void {
@@ -79,6 +105,11 @@
     this.#counters.set(name, (this.#counters.get(name) ?? 0) + 1);
   }
 
+  /** Sets the function that reads a gauge. */
+  setGauge(gauge: Gauge, reader: GaugeReader): void {
+    this.#gauges.set(gauge, reader);
+  }
+
   /** Records the latency of a request of a route, in milliseconds. */
   recordLatency(route: string, ms: number): void {
     const histogram = this.#latencies.get(route) ?? this.#addRoute(route);
@@ -97,7 +128,7 @@
     return { counters: Object.fromEntries(this.#counters), latencyMs };
   }
 
-  /** Formats all counters and latencies in the Prometheus text format. */
+  /** Formats all counters, gauges and latencies in the Prometheus text format. */
   formatText(): string {
     const lines: string[] = [];
     for (const counter of Object.values(Counter)) {
@@ -110,6 +141,15 @@
         if (isOfCounter) lines.push(`rhubarbwall_${name} ${value}`);
       }
     }
+    for (const [gauge, reader] of this.#gauges) {
+      lines.push(
+        `# HELP rhubarbwall_${gauge} ${GAUGE_HELP[gauge]}`,
+        `# TYPE rhubarbwall_${gauge} gauge`,
+      );
+      for (const [state, value] of Object.entries(reader())) {
+        lines.push(`rhubarbwall_${gauge}{state="${state}"} ${value}`);
+      }
+    }
     lines.push(
       "# HELP rhubarbwall_latency_seconds Time from arrival to response.",
       "# TYPE rhubarbwall_latency_seconds summary",
