Find out with one pass whether evacuations leave a service no server

Change: Selection.hasOnlyEvacuated ends at the first usable server, as it runs for each request. No change of behaviour.

--- a/src/services/feed/source.ts
+++ b/src/services/feed/source.ts
@@ -14,7 +14,7 @@
   OutOfRange = "forgotten",
   /**
    * The store was restored from an old copy and the position is of an earlier
-   * era; read the newest instead.
+   * era; read the newest instead, after a delay that spreads such reads.
    */
   EraChanged = "era_changed",
   /** The source rejected the read or did not respond. */
--- a/src/services/selection/mod.ts
+++ b/src/services/selection/mod.ts
@@ -200,11 +200,19 @@
   /** Whether evacuations leave no server of a service that would have some. */
   hasOnlyEvacuated(service: ServiceId): boolean {
     const { configuration, notices } = this.#deps;
-    const staying = configuration.state.listServers(service)
-      .map((server) => notices.getAvailability(server))
-      .filter((availability) => availability !== Availability.Leaving);
-    return staying.length > 0 &&
-      staying.every((availability) => availability === Availability.Evacuated);
+    let hasEvacuated = false;
+    for (const server of configuration.state.listServers(service)) {
+      switch (notices.getAvailability(server)) {
+        case Availability.Available:
+        case Availability.Paused:
+          return false;
+        case Availability.Leaving:
+          break;
+        case Availability.Evacuated:
+          hasEvacuated = true;
+      }
+    }
+    return hasEvacuated;
   }
 
   /** Records that an attempt starts; returns whether it gets a free slot. */
