Split the directory updates of hubs from the fleet service

Change: DirectoryUpdates has the entries that a hub removes and announces; the wait counts from when the head was read.

--- a/src/services/caller_front/mod.ts
+++ b/src/services/caller_front/mod.ts
@@ -141,12 +141,16 @@
   }
 
   async #runExchange(exchange: CallerExchange): Promise<void> {
-    const { admission, metrics, startup } = this.#deps;
+    const { admission, clock, metrics, startup } = this.#deps;
     metrics.add(Counter.Requests);
     if (isLocalTarget(exchange.head.target)) {
       return await this.#serveLocal(exchange);
     }
-    await startup.waitUntilServing(exchange.head.remainingMs, exchange.signal);
+    const { remainingMs = Infinity, receivedAt } = exchange.head;
+    await startup.waitUntilServing(
+      remainingMs - (clock.now() - receivedAt),
+      exchange.signal,
+    );
     const decision = admission.admit(exchange.head);
     switch (decision.kind) {
       case AdmissionKind.Refused:
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -9,6 +9,7 @@
 import { DIAL_TIMEOUT_MS, Dialer } from "./dialer.ts";
 import { DirectoryReader } from "./directory.ts";
 import type { VmDirectory } from "./directory.ts";
+import { DirectoryUpdates } from "./directory_updates.ts";
 import { StatusExchange } from "./exchange.ts";
 import type {
   ConfirmationSource,
@@ -33,7 +34,6 @@
 } from "./message.ts";
 import { LoadReports } from "./load_reports.ts";
 import type { LoadSource } from "./load_reports.ts";
-import { MissingVms } from "./missing_vms.ts";
 import { VmList } from "./vm_list.ts";
 import type { Roster } from "../warm_up/owners.ts";
 
@@ -83,21 +83,6 @@
 /** Interval of checks whether the directory has been read, in milliseconds. */
 const DIRECTORY_CHECK_MS = 50;
 
-/**
- * Time without a link after which a VM's directory entry is removed, in
- * milliseconds. Replacing a VM takes less time. A VM that is disconnected for
- * longer than its configuration remains confirmed serves no team, so the other
- * VMs can use its share of the rates.
- */
-const MISSING_LIMIT_MS = 60_000;
-/** Time after which a hub announces a linked VM without an entry, in ms. */
-const UNLISTED_LIMIT_MS = 1_000;
-/**
- * Maximum number of VMs that a hub announces per heartbeat, 40 a second. After
- * a restore of the store, many entries may be lost together.
- */
-const ANNOUNCEMENTS_PER_HEARTBEAT = 10;
-
 /** Dependencies of {@linkcode Fleet}. */
 export interface FleetDependencies {
   readonly clock: Clock;
@@ -138,8 +123,7 @@
   readonly #startedAt: number;
   #role = FleetRole.Searching;
   readonly #hubChecks: HubCheckSchedule;
-  readonly #missing = new MissingVms(MISSING_LIMIT_MS);
-  readonly #unlisted = new MissingVms(UNLISTED_LIMIT_MS);
+  readonly #directoryUpdates: DirectoryUpdates;
 
   /** Creates a fleet that contains only this VM. */
   constructor(deps: FleetDependencies) {
@@ -164,6 +148,13 @@
     this.#dialer = new Dialer({ ...deps, list, createHello });
     this.#exchange = new StatusExchange({ ...deps, links: this.#links, isHub });
     this.#loads = new LoadReports({ isHub });
+    this.#directoryUpdates = new DirectoryUpdates({
+      self: deps.self,
+      list,
+      links: this.#links,
+      directory: this.#directory,
+      listVms: () => this.#exchange.listVms(),
+    });
   }
 
   /** Directory entry of this VM. */
@@ -344,7 +335,8 @@
       if (isDomainDue) domainAt = now;
       this.#exchange.recordLocal();
       this.#checkRejectedByStore();
-      this.#updateDirectory(now);
+      if (isHubRole(this.#role)) this.#directoryUpdates.update(now);
+      else this.#directoryUpdates.removeAll();
       for (const link of this.#links) {
         this.#sendHeartbeat(link, isDomainDue, now);
       }
@@ -397,55 +389,6 @@
     this.#setRole(FleetRole.Searching);
   }
 
-  /**
-   * As a hub, updates this domain's directory entries to its live VMs.
-   *
-   * Entries of VMs that have been missing for long are removed, unless they are
-   * the majority of the domain: then this VM may be the partitioned one.
-   */
-  #updateDirectory(now: number): void {
-    if (!isHubRole(this.#role)) {
-      this.#missing.removeAll();
-      this.#unlisted.removeAll();
-      return;
-    }
-    const { self } = this.#deps;
-    const linked = new Set([...this.#links].map(({ vm }) => vm.name));
-    const others = this.#list.list().filter(({ name, failureDomain }) =>
-      failureDomain === self.failureDomain && name !== self.name
-    );
-    const missing = others.filter(({ name }) => !linked.has(name));
-    const isMajority = 2 * missing.length > others.length;
-    const overdue = this.#missing
-      .listOverdue(isMajority ? [] : missing.map(({ name }) => name), now);
-    for (const name of overdue) void this.#directory.removeMissing(name);
-    this.#restoreUnlisted(now);
-  }
-
-  /** Announces the live VMs of this domain that the directory lacks. */
-  #restoreUnlisted(now: number): void {
-    const { self } = this.#deps;
-    const entries = new Map([self, ...this.#listFollowers()]
-      .map((vm) => [vm.name, vm]));
-    const unlisted = this.#exchange.listVms()
-      .filter(({ phase }) => phase !== VmPhase.Leaving)
-      .map(({ name }) => name)
-      .filter((name) => {
-        const vm = entries.get(name);
-        return vm !== undefined && !this.#directory.isListed(vm);
-      });
-    const overdue = this.#unlisted
-      .listOverdue(unlisted, now, ANNOUNCEMENTS_PER_HEARTBEAT);
-    for (const name of overdue) {
-      const vm = entries.get(name);
-      if (vm !== undefined) void this.#directory.restoreLost(vm);
-    }
-  }
-
-  #listFollowers(): VmEntry[] {
-    return this.listLinks(LinkKind.Follower).map(({ vm }) => vm);
-  }
-
   #sendHeartbeat(link: Link, isDomainDue: boolean, now: number): void {
     if (now - link.lastSeenAt > getTimeoutMs(link)) {
       this.#deps.logger.warn("a link timed out; closing it", {
--- a/src/services/startup/mod.ts
+++ b/src/services/startup/mod.ts
@@ -42,18 +42,15 @@
   /**
    * Waits until this VM can serve, or until no more than a share of the
    * request's time is used. `remainingMs` is the time that the caller waits in
-   * milliseconds, undefined if unknown; `signal` aborts when it disconnects.
+   * milliseconds, infinite if unknown; `signal` aborts when it disconnects.
    */
   async waitUntilServing(
-    remainingMs: number | undefined,
+    remainingMs: number,
     signal: AbortSignal,
   ): Promise<void> {
     if (this.#hasServed || this.#waiting >= WAITING_LIMIT) return;
     const { clock, firstServing } = this.#deps;
-    const waitMs = Math.min(
-      WAIT_MAX_MS,
-      (remainingMs ?? WAIT_MAX_MS) * WAIT_RATIO,
-    );
+    const waitMs = Math.min(WAIT_MAX_MS, Math.max(0, remainingMs) * WAIT_RATIO);
     const ended = new AbortController();
     const stop = (): void => ended.abort();
     signal.addEventListener("abort", stop, { once: true });
--- a/src/services/startup/startup_test.ts
+++ b/src/services/startup/startup_test.ts
@@ -20,7 +20,7 @@
 /** Starts a wait; returns a function that tells whether it has ended. */
 function startWait(
   { startup }: World,
-  remainingMs: number | undefined,
+  remainingMs: number,
   signal = new AbortController().signal,
 ): () => boolean {
   let hasEnded = false;
