--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node case.mjs
