Get the state of other VMs before using a restored store

Callers saw a withdrawn key work again for 0.5 to 0.8 s (CONFIG): the store came back from a copy from before the withdrawal while the hub of a failure domain was restarting.

Cause: a read of the store confirms the configuration in force. In a later era this is right only for a VM that had a confirmed configuration before. The restarted hub had none and confirmed the copy alone; the first link of a VM that knew the newer version opened 0.5 s later, and that VM sends it only after 0.5 to 2.5 s more. The same cause acts when a whole domain or the whole fleet restarts, when VMs were cut off until the restore, and for servers that have left.

Change: in a later era, a VM without a confirmed configuration applies no read of either stream before it has got evacuations, configuration, servers and removals from up to three VMs, first one of each domain. If none responds, it waits for the 2 s in which operators and servers write again.

--- a/src/daemon/wiring/fleet.ts
+++ b/src/daemon/wiring/fleet.ts
@@ -14,6 +14,7 @@
 import { startEvacuationRelay } from "../../services/evacuation/relay.ts";
 import { Feed } from "../../services/feed/mod.ts";
 import { FeedRelay } from "../../services/feed/relay.ts";
+import { RestoredStore } from "../../services/feed/restored_store.ts";
 import { ServerRegistry } from "../../services/feed/server_registry.ts";
 import { createFleetEvidence } from "../../services/fleet/evidence.ts";
 import type { Clock } from "../../services/clock/mod.ts";
@@ -229,12 +230,29 @@
         logger: find(ServiceName.Logging).createLogger("configuration"),
       }),
   }));
+  kernel.add(createServiceDefinition({
+    name: ServiceName.RestoredStore,
+    dependencies: [
+      ServiceName.Clock,
+      ServiceName.Fleet,
+      ServiceName.Freshness,
+      ServiceName.Logging,
+    ],
+    create: (find) =>
+      new RestoredStore({
+        clock: find(ServiceName.Clock),
+        fleet: find(ServiceName.Fleet),
+        freshness: find(ServiceName.Freshness),
+        logger: find(ServiceName.Logging).createLogger("feed"),
+      }),
+  }));
   kernel.add(createServiceDefinition({
     name: ServiceName.Feed,
     dependencies: [
       ServiceName.Clock,
       ServiceName.Random,
       ServiceName.FeedRelay,
+      ServiceName.RestoredStore,
       ServiceName.ServerRegistry,
       ServiceName.EvacuatedDomains,
       ServiceName.DocumentSource,
@@ -248,6 +266,7 @@
         clock: find(ServiceName.Clock),
         random: find(ServiceName.Random),
         relay: find(ServiceName.FeedRelay),
+        restoredStore: find(ServiceName.RestoredStore),
         registry: find(ServiceName.ServerRegistry),
         evacuations: find(ServiceName.EvacuatedDomains),
         documents: find(ServiceName.DocumentSource),
--- a/src/protocols/fleet/message_codec.ts
+++ b/src/protocols/fleet/message_codec.ts
@@ -4,7 +4,11 @@
 import { VmPhase } from "../../model/mod.ts";
 import type { ConfigurationDocument, ServerPhase } from "../../model/mod.ts";
 import type { ServerEntry } from "../../services/feed/source.ts";
-import { FleetMessageKind, FleetRole } from "../../services/fleet/message.ts";
+import {
+  FleetMessageKind,
+  FleetRole,
+  HelloPurpose,
+} from "../../services/fleet/message.ts";
 import type {
   FleetMessage,
   InFlight,
@@ -109,6 +113,8 @@
     vm: vmEntrySchema,
     role,
     known: knownState,
+    // Builds without state requests do not send it.
+    purpose: z.enum(HelloPurpose).default(HelloPurpose.Link),
   }),
   z.object({ kind: z.literal(FleetMessageKind.Alive), role }),
   z.object({
--- a/src/services/catalog.ts
+++ b/src/services/catalog.ts
@@ -15,6 +15,7 @@
 import type { EvacuatedDomains, EvacuationView } from "./evacuation/mod.ts";
 import type { Feed } from "./feed/mod.ts";
 import type { FeedRelay } from "./feed/relay.ts";
+import type { RestoredStore } from "./feed/restored_store.ts";
 import type { ServerRegistry } from "./feed/server_registry.ts";
 import type {
   EraSource,
@@ -113,6 +114,7 @@
   Evacuation = "evacuation",
   Feed = "feed",
   FeedRelay = "feed_relay",
+  RestoredStore = "restored_store",
   FleetTransport = "fleet_transport",
   VmDirectory = "vm_directory",
   Fleet = "fleet",
@@ -184,6 +186,7 @@
   [ServiceName.Evacuation]: EvacuationView;
   [ServiceName.Feed]: Feed;
   [ServiceName.FeedRelay]: FeedRelay;
+  [ServiceName.RestoredStore]: RestoredStore;
   [ServiceName.FleetTransport]: PeerTransport<FleetMessage>;
   [ServiceName.VmDirectory]: VmDirectory;
   [ServiceName.Fleet]: Fleet;
--- a/src/services/evacuation/relay.ts
+++ b/src/services/evacuation/relay.ts
@@ -25,7 +25,7 @@
     domains: domains.list(),
   });
   domains.addListener(() => fleet.sendToFollowers(createMessage()));
-  fleet.addFollowerListener((link) => {
+  fleet.addReceiverListener((link) => {
     if (domains.upTo >= 0) link.send(createMessage());
   });
   fleet.setHandler(FleetMessageKind.Evacuations, (message, link) => {
@@ -35,9 +35,12 @@
         return sendRetained(domains, link);
       case LinkKind.Follower:
         return domains.addRetained(message.domains, clock.now());
+      case LinkKind.StateSource:
+        return domains.addRetained(message.domains, clock.now());
       case LinkKind.ToHub:
       case LinkKind.FromHub:
       case LinkKind.Visitor:
+      case LinkKind.StateReceiver:
         return;
     }
   });
--- a/src/services/feed/mod.ts
+++ b/src/services/feed/mod.ts
@@ -9,6 +9,8 @@
 import type { Random } from "../random/mod.ts";
 import { FeedStream } from "./relay.ts";
 import type { FeedRelay } from "./relay.ts";
+import { RestoredReadKind } from "./restored_store.ts";
+import type { RestoredStore } from "./restored_store.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 import {
   DocumentUpdateKind,
@@ -74,6 +76,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly relay: FeedRelay;
+  readonly restoredStore: RestoredStore;
   readonly registry: ServerRegistry;
   readonly evacuations: EvacuatedDomains;
   readonly documents: FeedSource<OperatorUpdate>;
@@ -135,6 +138,7 @@
         case FeedReadKind.Updates: {
           failures = 0;
           isHubAwaited = false;
+          if (!(await this.#isUsable(read, signal))) break;
           if (position === undefined) this.#replaceEvacuations(read);
           this.#applyDocuments(read);
           position = read.next;
@@ -187,12 +191,14 @@
           registry.hasExpired ? 0 : SERVER_WAIT_MS,
         );
       this.#recordReachability(read, FeedStream.Servers, requestedAt);
-      const now = clock.now();
       switch (read.kind) {
-        case FeedReadKind.Updates:
+        case FeedReadKind.Updates: {
+          const isUsable = await this.#isUsable(read, signal);
+          const now = clock.now();
           if (failures > 0) registry.recordOutageEnd(now);
           failures = 0;
           isHubAwaited = false;
+          if (!isUsable) break;
           if (position !== undefined) this.#applyServers(read, now);
           else this.#replaceServers(read, offsetBefore, now);
           position = read.next;
@@ -203,6 +209,7 @@
             signal,
           );
           break;
+        }
         case FeedReadKind.OutOfRange:
           position = undefined;
           break;
@@ -246,6 +253,20 @@
     }
   }
 
+  /** Waits until a read may be applied; returns false if it is too old then. */
+  async #isUsable(
+    { next }: ReadDocuments | ReadServers,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const kind = await this.#deps.restoredStore.waitUntilUsable(next, signal);
+    switch (kind) {
+      case RestoredReadKind.Usable:
+        return true;
+      case RestoredReadKind.Outdated:
+        return false;
+    }
+  }
+
   /** Applies a read of the newest records, which contain all evacuations. */
   #replaceEvacuations({ updates, next }: ReadDocuments): void {
     const { evacuations, clock } = this.#deps;
--- a/src/services/feed/relay.ts
+++ b/src/services/feed/relay.ts
@@ -99,12 +99,12 @@
     this.#relayedAt = deps.clock.now() + START_SPREAD_MS * deps.random();
     const { fleet, registry } = deps;
     fleet.setConfirmationSource(this);
-    fleet.addFollowerListener((link) => this.#sendAll(link));
+    fleet.addReceiverListener((link) => this.#sendAll(link));
     fleet.setHandler(FleetMessageKind.Document, ({ document }) => {
       this.applyDocument(document);
     });
     fleet.setHandler(FleetMessageKind.Servers, (message, link) => {
-      if (link.kind !== LinkKind.Uplink) return;
+      if (!isStateSource(link)) return;
       const { listings, offset, tombstones } = message;
       const contradicted = registry.replaceAll(
         listings,
@@ -223,7 +223,7 @@
     this.#relayedAt = Math.max(this.#relayedAt, bothAt);
   }
 
-  /** Sends a new follower the configuration and servers that it lacks. */
+  /** Sends a VM the configuration and servers that it lacks. */
   #sendAll(link: Link): void {
     const { version, serversDigest } = link.known;
     const document = this.#document;
@@ -323,3 +323,18 @@
     return this.#deps.clock.now();
   }
 }
+
+/** Whether lists of all servers are accepted on a link. */
+function isStateSource({ kind }: Link): boolean {
+  switch (kind) {
+    case LinkKind.Uplink:
+    case LinkKind.StateSource:
+      return true;
+    case LinkKind.Follower:
+    case LinkKind.ToHub:
+    case LinkKind.FromHub:
+    case LinkKind.Visitor:
+    case LinkKind.StateReceiver:
+      return false;
+  }
+}
--- a/src/services/fleet/dialer.ts
+++ b/src/services/fleet/dialer.ts
@@ -9,7 +9,7 @@
 /** Timeout for connecting to a VM and receiving its hello, in milliseconds. */
 export const DIAL_TIMEOUT_MS = 400;
 
-/** A connection whose other end has reported that it is a hub. */
+/** A connection on which the other VM's hello was received. */
 export interface OpenedConnection {
   readonly hello: Hello;
   readonly connection: PeerConnection<FleetMessage>;
@@ -22,7 +22,7 @@
   readonly clock: Clock;
   readonly transport: PeerTransport<FleetMessage>;
   readonly list: VmList;
-  readonly createHello: () => FleetMessage;
+  readonly createHello: () => Hello;
 }
 
 /** Connects to VMs one by one, and records those that can't be used as hubs. */
@@ -39,20 +39,28 @@
     candidates: readonly VmEntry[],
     signal: AbortSignal,
   ): Promise<OpenedConnection | undefined> {
+    const { clock, list, createHello } = this.#deps;
     for (const candidate of candidates) {
       if (signal.aborted) return undefined;
-      const opened = await this.#connectTo(candidate, signal);
-      if (opened !== undefined) return opened;
+      const opened = await this.connect(candidate, createHello(), signal);
+      if (opened === undefined) continue;
+      if (isHubRole(opened.hello.role)) {
+        list.recordReachable(candidate.name);
+        return opened;
+      }
+      opened.connection.close();
+      list.recordNotHub(candidate.name, clock.now());
     }
     return undefined;
   }
 
-  /** Connects to a VM; undefined if it is unreachable or not a hub. */
-  async #connectTo(
+  /** Connects to a VM; undefined if it is unreachable. */
+  async connect(
     vm: VmEntry,
+    localHello: Hello,
     signal: AbortSignal,
   ): Promise<OpenedConnection | undefined> {
-    const { clock, transport, list, createHello } = this.#deps;
+    const { clock, transport, list } = this.#deps;
     const opened = await runWithTimeout(
       clock,
       DIAL_TIMEOUT_MS,
@@ -62,7 +70,7 @@
           AbortSignal.any([signal, deadline]),
         );
         if (connection === undefined) return undefined;
-        connection.send(createHello());
+        connection.send(localHello);
         const messages = connection.listMessages()[Symbol.asyncIterator]();
         const hello = await readHello(messages);
         if (deadline.aborted) connection.close();
@@ -80,12 +88,6 @@
       list.recordUnreachable(vm.name, clock.now());
       return undefined;
     }
-    if (!isHubRole(hello.role)) {
-      connection.close();
-      list.recordNotHub(vm.name, clock.now());
-      return undefined;
-    }
-    list.recordReachable(vm.name);
     return { hello, connection, messages };
   }
 }
--- a/src/services/fleet/exchange.ts
+++ b/src/services/fleet/exchange.ts
@@ -222,7 +222,8 @@
     const others = [...this.#deps.links]
       .filter((other) => other.kind === link.kind);
     const { name, failureDomain } = link.vm;
-    if (!others.some((other) => other.vm.name === name)) {
+    const isFollower = link.kind === LinkKind.Follower;
+    if (isFollower && !others.some((other) => other.vm.name === name)) {
       this.#phases.delete(name);
     }
     const hasOther = others
--- a/src/services/fleet/link.ts
+++ b/src/services/fleet/link.ts
@@ -3,7 +3,7 @@
 import type { LoadByServer } from "../selection/load_exchange.ts";
 import type { PeerConnection } from "../membership/transport.ts";
 import { LiveVmsSender } from "./live_vms.ts";
-import { FleetMessageKind, FleetRole } from "./message.ts";
+import { FleetMessageKind, FleetRole, HelloPurpose } from "./message.ts";
 import type {
   FleetMessage,
   Hello,
@@ -25,6 +25,10 @@
   FromHub = "from_hub",
   /** From a VM that only requests the list of VMs. */
   Visitor = "visitor",
+  /** To a VM that sends its state to this one once. */
+  StateSource = "state_source",
+  /** From a VM that requests this VM's state once. */
+  StateReceiver = "state_receiver",
 }
 
 /** Data of a follower's newest status. */
@@ -113,8 +117,13 @@
   hello: Hello,
   localDomain: string,
 ): LinkKind {
-  if (hello.vm.failureDomain === localDomain) return LinkKind.Follower;
-  return isHubRole(hello.role) ? LinkKind.FromHub : LinkKind.Visitor;
+  switch (hello.purpose) {
+    case HelloPurpose.State:
+      return LinkKind.StateReceiver;
+    case HelloPurpose.Link:
+      if (hello.vm.failureDomain === localDomain) return LinkKind.Follower;
+      return isHubRole(hello.role) ? LinkKind.FromHub : LinkKind.Visitor;
+  }
 }
 
 /** Reads the first message; undefined if it is not a hello. */
--- a/src/services/fleet/load_reports.ts
+++ b/src/services/fleet/load_reports.ts
@@ -62,6 +62,8 @@
         return this.#domainLoad.sumOthers();
       case LinkKind.FromHub:
       case LinkKind.Visitor:
+      case LinkKind.StateSource:
+      case LinkKind.StateReceiver:
         return new Map();
     }
   }
@@ -94,6 +96,8 @@
         return this.#otherDomainsLoad.applyChanges(link, load);
       case LinkKind.ToHub:
       case LinkKind.Visitor:
+      case LinkKind.StateSource:
+      case LinkKind.StateReceiver:
         return;
     }
   }
@@ -111,6 +115,8 @@
         return this.#otherDomainsLoad.remove(link);
       case LinkKind.ToHub:
       case LinkKind.Visitor:
+      case LinkKind.StateSource:
+      case LinkKind.StateReceiver:
         return;
     }
   }
--- a/src/services/fleet/load_reports_test.ts
+++ b/src/services/fleet/load_reports_test.ts
@@ -4,7 +4,7 @@
 import type { LoadByServer } from "../selection/load_exchange.ts";
 import { Link, LinkKind } from "./link.ts";
 import { LoadReports } from "./load_reports.ts";
-import { FleetMessageKind, FleetRole } from "./message.ts";
+import { FleetMessageKind, FleetRole, HelloPurpose } from "./message.ts";
 import type { FleetMessage, VmEntry } from "./message.ts";
 
 function createVm(name: string, failureDomain = "a"): VmEntry {
@@ -31,6 +31,7 @@
     vm,
     role: FleetRole.Follower,
     known: { version: 0, serversDigest: 0 },
+    purpose: HelloPurpose.Link,
   } as const;
   return new Link(kind, hello, connection, 0);
 }
--- a/src/services/fleet/message.ts
+++ b/src/services/fleet/message.ts
@@ -44,6 +44,14 @@
   Hub = "hub",
 }
 
+/** Why a VM opens a connection to another one. */
+export enum HelloPurpose {
+  /** To keep a link, whose kind follows from the roles of both VMs. */
+  Link = "link",
+  /** To get the other VM's state once. */
+  State = "state",
+}
+
 /** Directory entry of a VM. */
 export interface VmEntry {
   readonly name: VmName;
@@ -106,6 +114,7 @@
   readonly vm: VmEntry;
   readonly role: FleetRole;
   readonly known: KnownState;
+  readonly purpose: HelloPurpose;
 }
 
 /** Heartbeat with the sender's current role. */
--- a/src/services/fleet/mod.ts
+++ b/src/services/fleet/mod.ts
@@ -24,9 +24,10 @@
   readHello,
   resolveAcceptedKind,
 } from "./link.ts";
-import { FleetMessageKind, FleetRole } from "./message.ts";
+import { FleetMessageKind, FleetRole, HelloPurpose } from "./message.ts";
 import type {
   FleetMessage,
+  Hello,
   LiveVm,
   UsageKind,
   VmEntry,
@@ -34,6 +35,7 @@
 } from "./message.ts";
 import { LoadReports } from "./load_reports.ts";
 import type { LoadSource } from "./load_reports.ts";
+import { StateTransfer } from "./state_transfer.ts";
 import { VmList } from "./vm_list.ts";
 import type { Roster } from "../warm_up/owners.ts";
 
@@ -115,9 +117,10 @@
   /** Other domains to whose hub a link is open or being opened. */
   readonly #activeDomains = new Set<string>();
   readonly #handlers: Handlers = {};
-  readonly #followerListeners = new Set<(link: Link) => void>();
+  readonly #receiverListeners = new Set<(link: Link) => void>();
   readonly #directory: DirectoryReader;
   readonly #dialer: Dialer;
+  readonly #stateTransfer: StateTransfer;
   readonly #exchange: StatusExchange;
   readonly #loads: LoadReports;
   readonly #startedAt: number;
@@ -133,7 +136,7 @@
     this.#list.add(deps.self);
     const list = this.#list;
     const isHub = (): boolean => isHubRole(this.#role);
-    const createHello = (): FleetMessage => this.#createHello();
+    const createHello = (): Hello => this.#createHello();
     this.#directory = new DirectoryReader({
       ...deps,
       list,
@@ -147,6 +150,13 @@
     });
     this.#dialer = new Dialer({ ...deps, list, createHello });
     this.#exchange = new StatusExchange({ ...deps, links: this.#links, isHub });
+    this.#stateTransfer = new StateTransfer({
+      ...deps,
+      dialer: this.#dialer,
+      createHello: () => this.#createHello(HelloPurpose.State),
+      tryApply: (message, link) => this.#tryApplyMessage(message, link),
+      getVersion: () => this.#exchange.getKnown().version,
+    });
     this.#loads = new LoadReports({ isHub });
     this.#directoryUpdates = new DirectoryUpdates({
       self: deps.self,
@@ -200,9 +210,23 @@
     this.#handlers[kind] = handler;
   }
 
-  /** Adds a function to call when a new follower has linked to this VM. */
-  addFollowerListener(listener: (link: Link) => void): void {
-    this.#followerListeners.add(listener);
+  /**
+   * Adds a function that sends state to a VM that has linked to this one as a
+   * new follower or has requested its state.
+   */
+  addReceiverListener(listener: (link: Link) => void): void {
+    this.#receiverListeners.add(listener);
+  }
+
+  /**
+   * Requests the state of some VMs and applies it. Resolves to the number of
+   * VMs with a configuration that have sent it, 0 if none could be reached.
+   */
+  fetchState(signal: AbortSignal): Promise<number> {
+    const { self, clock } = this.#deps;
+    const candidates = this.#list.listAcrossDomains(clock.now())
+      .filter(({ name }) => name !== self.name);
+    return this.#stateTransfer.fetchFrom(candidates, signal);
   }
 
   /** Counts the VMs of this domain that rank before this one as its hub. */
@@ -412,16 +436,19 @@
         if (isDomainDue) link.send(this.#createAlive());
         return;
       case LinkKind.Visitor:
+      case LinkKind.StateSource:
+      case LinkKind.StateReceiver:
         return;
     }
   }
 
-  #createHello(): FleetMessage {
+  #createHello(purpose = HelloPurpose.Link): Hello {
     return {
       kind: FleetMessageKind.Hello,
       vm: this.self,
       role: this.#getAdvertisedRole(),
       known: this.#exchange.getKnown(),
+      purpose,
     };
   }
 
@@ -454,14 +481,35 @@
     if (this.#list.add(hello.vm)) this.#sendVmsKnown([hello.vm]);
     this.#links.add(link);
     logger.info("accepted a link", { peer: link.vm.name, link: kind });
-    link.send({ kind: FleetMessageKind.VmsKnown, vms: this.#list.list() });
-    if (kind === LinkKind.Follower) {
-      void this.#directory.restore(hello.vm);
-      for (const listener of this.#followerListeners) listener(link);
-    }
+    this.#sendInitial(link);
+    if (kind === LinkKind.Follower) void this.#directory.restore(hello.vm);
     await this.#readLink(link, messages);
   }
 
+  /** Sends what the VM at the other end of an accepted link needs first. */
+  #sendInitial(link: Link): void {
+    const vms: FleetMessage = {
+      kind: FleetMessageKind.VmsKnown,
+      vms: this.#list.list(),
+    };
+    switch (link.kind) {
+      case LinkKind.Follower:
+        link.send(vms);
+        for (const listener of this.#receiverListeners) listener(link);
+        return;
+      case LinkKind.StateReceiver:
+        for (const listener of this.#receiverListeners) listener(link);
+        // Marks the end of the state.
+        return link.send(vms);
+      case LinkKind.FromHub:
+      case LinkKind.Visitor:
+      case LinkKind.Uplink:
+      case LinkKind.ToHub:
+      case LinkKind.StateSource:
+        return link.send(vms);
+    }
+  }
+
   /** Handles the messages of a link until it closes, then removes the link. */
   async #readLink(
     link: Link,
@@ -576,6 +624,8 @@
       case LinkKind.Uplink:
       case LinkKind.ToHub:
       case LinkKind.Visitor:
+      case LinkKind.StateSource:
+      case LinkKind.StateReceiver:
         return;
       case LinkKind.FromHub:
         return this.#sendTo(LinkKind.Follower, message);
@@ -649,6 +699,8 @@
     case LinkKind.ToHub:
     case LinkKind.FromHub:
     case LinkKind.Visitor:
+    case LinkKind.StateSource:
+    case LinkKind.StateReceiver:
       return LINK_TIMEOUT_MS;
   }
 }
--- a/src/services/fleet/vm_list.ts
+++ b/src/services/fleet/vm_list.ts
@@ -97,6 +97,19 @@
     );
   }
 
+  /**
+   * Lists the VMs that may be tried now: the highest-ranked of each domain, then
+   * the second of each, and so on. A fault often affects a whole domain.
+   */
+  listAcrossDomains(now: number): VmEntry[] {
+    return this.listDomains()
+      .flatMap((domain) =>
+        this.listCandidates(domain, now).map((vm, rank) => ({ vm, rank }))
+      )
+      .toSorted((left, right) => left.rank - right.rank)
+      .map(({ vm }) => vm);
+  }
+
   /** Records that a VM could not be reached or did not identify itself. */
   recordUnreachable(name: VmName, now: number): void {
     const failures = (this.#backoffs.get(name)?.failures ?? 0) + 1;
--- a/tests/feed_world.ts
+++ b/tests/feed_world.ts
@@ -9,6 +9,7 @@
 import { startEvacuationRelay } from "../src/services/evacuation/relay.ts";
 import { Feed } from "../src/services/feed/mod.ts";
 import { FeedRelay } from "../src/services/feed/relay.ts";
+import { RestoredStore } from "../src/services/feed/restored_store.ts";
 import { ServerRegistry } from "../src/services/feed/server_registry.ts";
 import {
   DocumentUpdateKind,
@@ -221,6 +222,7 @@
       clock,
       random: createSeededRandom(this.#startCount),
       relay,
+      restoredStore: new RestoredStore({ clock, fleet, freshness, logger }),
       registry,
       evacuations,
       documents: this.documents.createSource(name, clock),
