Report a VM as serving only once it reaches its cell's shares

npm run demo failed in about half of its runs on x86-64: in the first seconds of a cell, requests of a team below its rate got 503 share_missing or 429 over_rate with a Retry-After of 2 ms.

Causes: a VM gave out its address from its start, while the first claim of a quota shard comes after 1.5 s; two connected VMs needed a heartbeat interval of 1 s to see that both receive, and could not lend tokens until then; a VM that reached a single shard of a team took the lack of tokens for a team over its rate.

Change: a VM of a cell is "starting" until its configuration is fresh and it reaches the owners of a majority of the quota shards; the first heartbeat of a peer is answered at once; a VM that reaches less than a majority of a team's shards answers share_missing. A starting VM's shards count as owned, which only delays claims. Callers without a team get starting VMs if no VM serves. The demo waits until all daemons serve; its checks are unchanged.

--- a/scripts/demo_fleet.ts
+++ b/scripts/demo_fleet.ts
@@ -2,6 +2,7 @@
 import { createHash } from "node:crypto";
 import type { ChildProcess } from "node:child_process";
 import http from "node:http";
+import { VmPhase } from "../src/model/mod.ts";
 import { findFreePorts, ProcessGroup, waitUntil } from "./processes.ts";
 import type { ProcessResult } from "./processes.ts";
 
@@ -56,7 +57,7 @@
   startDaemon(daemon: FleetDaemon): void;
 }
 
-/** Starts a fleet; its `group` stops it. */
+/** Starts a fleet whose daemons all serve callers; its `group` stops it. */
 export async function startFleet(options: FleetOptions = {}): Promise<Fleet> {
   const group = new ProcessGroup();
   const serverCount = options.servers ?? 4;
@@ -80,6 +81,10 @@
     daemons.push({ ...daemon, process: start(daemon) });
   }
   await updateVmList(vmListPort, daemons);
+  await waitUntil(
+    async () => (await Promise.all(daemons.map(isServing))).every(Boolean),
+    START_TIMEOUT_MS,
+  );
   const ctlEnvironment = {
     RHUBARBWALL_LOG_URL: `http://127.0.0.1:${logPort}`,
     RHUBARBWALL_OPERATOR_KEY: OPERATOR_KEY,
@@ -158,6 +163,15 @@
   });
 }
 
+/** Whether a daemon reports that it serves callers. */
+async function isServing({ operatorPort }: FleetDaemon): Promise<boolean> {
+  const response = await fetch(`http://127.0.0.1:${operatorPort}/status`, {
+    headers: { authorization: `Bearer ${OPERATOR_KEY}` },
+  });
+  const { phase } = await response.json() as { phase?: VmPhase };
+  return phase === VmPhase.Serving;
+}
+
 async function isResponding(port: number, path: string): Promise<boolean> {
   const response = await fetch(`http://127.0.0.1:${port}${path}`);
   await response.arrayBuffer();
--- a/src/daemon/wiring/cell.ts
+++ b/src/daemon/wiring/cell.ts
@@ -146,6 +146,7 @@
       ServiceName.Freshness,
       ServiceName.Membership,
       ServiceName.QuotaShards,
+      ServiceName.Logging,
     ],
     create: (find) =>
       new Presence({
@@ -154,6 +155,7 @@
         freshness: find(ServiceName.Freshness),
         membership: find(ServiceName.Membership),
         shards: find(ServiceName.QuotaShards),
+        logger: find(ServiceName.Logging).createLogger("presence"),
       }),
   }));
 }
--- a/src/services/addresses/mod.ts
+++ b/src/services/addresses/mod.ts
@@ -76,7 +76,7 @@
    * as no VM changes.
    */
   selectAddresses(team: Team | undefined, caller: string): AddressResponse {
-    const candidates = this.#listCandidates();
+    const candidates = this.#listCandidates(team);
     const notOverloaded = candidates.filter((vm) => !vm.isOverloaded);
     const usable = notOverloaded.length > 0 ? notOverloaded : candidates;
     const teamShards = new Set(team === undefined ? [] : listTeamShards(team));
@@ -101,11 +101,22 @@
     return { ttlMs: this.#deps.ttlMs, addresses };
   }
 
-  /** Lists the reachable VMs that serve callers with a fresh configuration. */
-  #listCandidates(): Candidate[] {
+  /**
+   * Lists the VMs that serve callers. Without any, callers of no team get those
+   * that are starting: these can serve open routes.
+   */
+  #listCandidates(team: Team | undefined): Candidate[] {
+    const serving = this.#listInPhase(VmPhase.Serving);
+    return serving.length === 0 && team === undefined
+      ? this.#listInPhase(VmPhase.Starting)
+      : serving;
+  }
+
+  /** Lists the reachable VMs in a phase whose configuration is fresh. */
+  #listInPhase(phase: VmPhase): Candidate[] {
     const { membership } = this.#deps;
     const candidates = membership.listReachable()
-      .filter((peer) => peer.phase === VmPhase.Serving && peer.isFresh)
+      .filter((peer) => peer.phase === phase && peer.isFresh)
       .map((peer): Candidate => ({
         vm: peer.vm,
         address: peer.hello?.callerAddress ?? "",
@@ -113,15 +124,15 @@
         isOverloaded: peer.isOverloaded,
         shards: peer.shards,
       }));
-    const localCandidate = this.#createLocalCandidate();
+    const localCandidate = this.#createLocalCandidate(phase);
     return localCandidate === undefined
       ? candidates
       : [localCandidate, ...candidates];
   }
 
-  #createLocalCandidate(): Candidate | undefined {
+  #createLocalCandidate(phase: VmPhase): Candidate | undefined {
     const { freshness, membership, presence, shards } = this.#deps;
-    if (presence.phase !== VmPhase.Serving || !freshness.isFresh()) {
+    if (presence.phase !== phase || !freshness.isFresh()) {
       return undefined;
     }
     return {
--- a/src/services/membership/mod.ts
+++ b/src/services/membership/mod.ts
@@ -300,7 +300,11 @@
       this.#handlers.get(message.kind)?.(message, peer);
       return;
     }
-    peer.recordHeartbeat(message, this.#deps.clock.now());
+    const now = this.#deps.clock.now();
+    const earlier = peer.getReachability(now);
+    peer.recordHeartbeat(message, now);
     for (const listener of this.#listeners) listener(peer);
+    // Otherwise the peer would not know for an interval that it is heard.
+    if (earlier !== Reachability.TwoWay) this.#sendHeartbeat(peer);
   }
 }
--- a/src/services/presence/mod.ts
+++ b/src/services/presence/mod.ts
@@ -3,6 +3,7 @@
 import type { Configuration } from "../configuration/mod.ts";
 import type { Dispatch } from "../dispatch/mod.ts";
 import type { FreshnessSource } from "../freshness/mod.ts";
+import type { Logger } from "../logging/mod.ts";
 import type { HeartbeatReport, Membership } from "../membership/mod.ts";
 import type { QuotaShards } from "../quota_shards/mod.ts";
 
@@ -13,6 +14,7 @@
   readonly freshness: FreshnessSource;
   readonly membership: Membership;
   readonly shards: QuotaShards;
+  readonly logger: Logger;
 }
 
 /** Ratio of waiting to running requests above which a VM is overloaded. */
@@ -21,7 +23,7 @@
 /** Provides the content of heartbeats and tracks this VM's lifecycle phase. */
 export class Presence {
   readonly #deps: PresenceDependencies;
-  #phase = VmPhase.Serving;
+  #phase = VmPhase.Starting;
 
   /** Creates the service and registers it as the provider of heartbeats. */
   constructor(deps: PresenceDependencies) {
@@ -29,11 +31,26 @@
     deps.membership.setReporter(() => this.getReport());
   }
 
-  /** Lifecycle phase of this VM. */
+  /**
+   * Lifecycle phase of this VM. It serves from when it first reaches the owners
+   * of a majority of the quota shards: with fewer, it refuses requests of teams
+   * that are within their rates.
+   */
   get phase(): VmPhase {
+    if (this.#phase === VmPhase.Starting && this.#isReady()) {
+      this.#phase = VmPhase.Serving;
+      this.#deps.logger.info("this VM reaches its cell's shares and serves", {
+        owned: this.#deps.shards.listOwned().length,
+      });
+    }
     return this.#phase;
   }
 
+  #isReady(): boolean {
+    const { freshness, shards } = this.#deps;
+    return freshness.isFresh() && shards.isMajorityReachable();
+  }
+
   /** Notifies all peers immediately that this VM is leaving. */
   setLeaving(): void {
     this.#phase = VmPhase.Leaving;
@@ -45,7 +62,7 @@
     const { configuration, freshness, shards } = this.#deps;
     return {
       offset: configuration.offset,
-      phase: this.#phase,
+      phase: this.phase,
       isFresh: freshness.isFresh(),
       isOverloaded: this.isOverloaded(),
       seats: shards.listOwned().map(({ index, epoch }) => ({ index, epoch })),
--- a/src/services/quota_shards/claims.ts
+++ b/src/services/quota_shards/claims.ts
@@ -6,7 +6,7 @@
   RECORD_VERSION,
   SHARD_ORPHAN_MS,
 } from "../../constants.ts";
-import { RecordKind, ShardPhase, VmPhase } from "../../model/mod.ts";
+import { RecordKind, ShardPhase } from "../../model/mod.ts";
 import type {
   Offset,
   QuotaShard,
@@ -79,6 +79,12 @@
     return [...this.#takeovers.keys()];
   }
 
+  /** Whether this VM and its reachable peers own a majority of the shards. */
+  isMajorityReachable(): boolean {
+    const reachable = new Set(this.#deps.membership.listReachable());
+    return isMajority(this.#countVotes((peer) => reachable.has(peer)));
+  }
+
   /** Cancels the takeovers that may not be used yet. */
   cancelTakeovers(): void {
     this.#takeovers.clear();
@@ -116,7 +122,7 @@
   async claimVacant(): Promise<void> {
     const now = this.#deps.clock.now();
     if (now - this.#createdAt < FIRST_CLAIM_DELAY_MS) return;
-    const hasMajority = this.#isMajorityReachable();
+    const hasMajority = this.isMajorityReachable();
     const vacant: ShardIndex[] = [];
     for (const [index, shard] of this.#owned.listLogShards()) {
       if (this.#owned.find(index)) this.#ownerSeenAt.set(index, now);
@@ -232,11 +238,6 @@
     return isMajority(this.#countVotes((peer) => peer.offset >= offset));
   }
 
-  #isMajorityReachable(): boolean {
-    const reachable = new Set(this.#deps.membership.listReachable());
-    return isMajority(this.#countVotes((peer) => reachable.has(peer)));
-  }
-
   /** Counts the shards of this VM and of the peers that pass `isCounted`. */
   #countVotes(isCounted: (peer: PeerState) => boolean): number {
     const indexes = new Set(this.#owned.list().map((shard) => shard.index));
@@ -270,7 +271,6 @@
   }
 
   #recordOwnerSeen(peer: PeerState): void {
-    if (peer.phase === VmPhase.Starting) return;
     const now = this.#deps.clock.now();
     for (const { index, epoch } of peer.shards) {
       if (this.#owned.findLogShard(index)?.epoch === epoch) {
--- a/src/services/quota_shards/mod.ts
+++ b/src/services/quota_shards/mod.ts
@@ -67,6 +67,11 @@
     return this.#owned.find(index);
   }
 
+  /** Whether this VM and its reachable peers own a majority of the shards. */
+  isMajorityReachable(): boolean {
+    return this.#claims.isMajorityReachable();
+  }
+
   /** Returns the state of this VM's shards. */
   getReport(): QuotaShardsReport {
     return {
--- a/src/services/shares/mod.ts
+++ b/src/services/shares/mod.ts
@@ -13,6 +13,7 @@
 import type {
   BorrowRequest,
   BorrowResponse,
+  OwnedShard,
 } from "../membership/peer_message.ts";
 import type { QuotaShards } from "../quota_shards/mod.ts";
 import type {
@@ -43,7 +44,10 @@
   Granted = "granted",
   /** The team has used its rate and burst. */
   Refused = "refused",
-  /** No reachable VM owns a quota shard of the team. */
+  /**
+   * Too few tokens, and this VM does not reach the owners of most of the team's
+   * quota shards: the team may be within its rate.
+   */
   Missing = "missing",
 }
 
@@ -160,19 +164,27 @@
     } finally {
       share.waiting -= 1;
     }
-    if (this.#hasNoSource(team)) return { kind: GrantKind.Missing };
+    if (!this.#isMajorityReachable(team)) return { kind: GrantKind.Missing };
     return {
       kind: GrantKind.Refused,
       retryAfterMs: Math.ceil(MS_PER_SECOND / team.ratePerSecond),
     };
   }
 
-  /** Whether neither this VM nor a reachable peer owns a shard of the team. */
-  #hasNoSource(team: Team): boolean {
-    const teamShards = new Set(listTeamShards(team));
-    const owned = this.#deps.shards.listOwned();
-    if (owned.some((shard) => teamShards.has(shard.index))) return false;
-    return this.#listOwners(team).length === 0;
+  /** Whether this VM and its reachable peers own most of the team's shards. */
+  #isMajorityReachable(team: Team): boolean {
+    const teamShards = listTeamShards(team);
+    const reached = new Set(
+      [...this.#deps.shards.listOwned(), ...this.#listReachableShards()]
+        .map(({ index }) => index),
+    );
+    const count = teamShards.filter((index) => reached.has(index)).length;
+    return count > teamShards.length / 2;
+  }
+
+  #listReachableShards(): OwnedShard[] {
+    return this.#deps.membership.listReachable()
+      .flatMap(({ shards }) => shards);
   }
 
   /** Refunds the token of a request that was not run. */
