Refuse a request whose key changed hands before it is sent

Cause: the check before each attempt asked whether the key is valid, not whether it belongs to the team for which the request was admitted.

Change: the check compares the teams and refuses with 503 key_reassigned, as not run.

--- a/src/model/outcomes.ts
+++ b/src/model/outcomes.ts
@@ -74,6 +74,8 @@
   KeyMissing = "key_missing",
   KeyUnknown = "key_unknown",
   KeyWithdrawn = "key_withdrawn",
+  /** The key went over to another team after the request was admitted. */
+  KeyReassigned = "key_reassigned",
   ConfigurationStale = "configuration_stale",
   ConfigurationMissing = "configuration_missing",
   OverRate = "over_rate",
--- a/src/protocols/http/refusal_codec.ts
+++ b/src/protocols/http/refusal_codec.ts
@@ -71,6 +71,7 @@
       return 500;
     case RefusalKind.ResponseLost:
       return 502;
+    case RefusalKind.KeyReassigned:
     case RefusalKind.ConfigurationStale:
     case RefusalKind.ConfigurationMissing:
     case RefusalKind.QueueFull:
--- a/src/services/admission/mod.ts
+++ b/src/services/admission/mod.ts
@@ -96,6 +96,8 @@
 const STARTING_RETRY_MS = 300;
 /** Retry delay for a caller of a VM that stops; other VMs can serve it. */
 const STOPPING_RETRY_MS = 100;
+/** Retry delay for a caller whose key now belongs to another team. */
+const REASSIGNED_RETRY_MS = 100;
 
 /** Decides which requests may run. */
 export class Admission {
@@ -200,7 +202,7 @@
     const expired = this.#checkTime(plan);
     if (expired !== undefined) return expired;
     if (plan.route.access === RouteAccess.Open) return undefined;
-    return this.checkKey(plan.key);
+    return this.checkKey(plan.key) ?? this.#checkTeam(plan);
   }
 
   /**
@@ -253,6 +255,17 @@
     return undefined;
   }
 
+  /** Returns a refusal if a request's key now belongs to another team. */
+  #checkTeam({ key, team }: RequestPlan): Refusal | undefined {
+    const { state } = this.#deps.configuration;
+    if (state.keys.get(key)?.team === team?.id) return undefined;
+    return createRefusal(
+      RefusalKind.KeyReassigned,
+      Step.Key,
+      REASSIGNED_RETRY_MS,
+    );
+  }
+
   #checkTeamOfKey(digest: KeyDigest): Refusal | undefined {
     const { state } = this.#deps.configuration;
     const key = state.keys.get(digest);
