Bound the wait for the state of other VMs by time

A VM that started after a restore of the store and could not reach any of 60 other VMs was still without a configuration 4 s after the restore; it should use the store after 2 s.

Cause: the limit was checked between rounds of requests. A round tries each VM for up to 400 ms, four at a time, so it grows with the number of VMs that don't respond.

Change: one signal ends the round as well. A VM that was being tried then does not count as unreachable.

Measured: the test with 60 VMs failed before and passes now, and so do the tests of feeds, links and evacuation.

--- a/src/services/feed/restored_store.ts
+++ b/src/services/feed/restored_store.ts
@@ -82,22 +82,24 @@
       { era },
     );
     const startedAt = clock.now();
-    while (!signal.aborted) {
-      const sources = await fleet.fetchState(signal);
-      const waitedMs = Math.round(clock.now() - startedAt);
+    const limit = new AbortController();
+    const cancelLimit = clock.startTimer(REWRITE_MS, () => limit.abort());
+    const stopped = AbortSignal.any([signal, limit.signal]);
+    while (!stopped.aborted) {
+      const sources = await fleet.fetchState(stopped);
       if (sources > 0 || freshness.isFresh()) {
+        cancelLimit();
+        const waitedMs = Math.round(clock.now() - startedAt);
         logger.info("using the restored store", { era, sources, waitedMs });
         return RestoredReadKind.Usable;
       }
-      if (waitedMs >= REWRITE_MS) {
-        logger.warn(
-          "no other VM has sent its state; using the restored store",
-          { era, waitedMs },
-        );
-        return RestoredReadKind.Outdated;
-      }
-      await clock.sleep(REQUEST_INTERVAL_MS, signal);
+      await clock.sleep(REQUEST_INTERVAL_MS, stopped);
     }
+    cancelLimit();
+    logger.warn("no other VM has sent its state; using the restored store", {
+      era,
+      waitedMs: Math.round(clock.now() - startedAt),
+    });
     return RestoredReadKind.Outdated;
   }
 }
--- a/src/services/fleet/dialer.ts
+++ b/src/services/fleet/dialer.ts
@@ -78,7 +78,7 @@
       },
     );
     if (opened === TIMED_OUT || opened === undefined) {
-      list.recordUnreachable(vm.name, clock.now());
+      if (!signal.aborted) list.recordUnreachable(vm.name, clock.now());
       return undefined;
     }
     const { connection, messages, hello } = opened;
--- a/tests/restored_store_test.ts
+++ b/tests/restored_store_test.ts
@@ -152,6 +152,26 @@
   assert.ok(copy.documents < newerCopy.documents);
 });
 
+// Guards against a wait that grows with the number of VMs that don't respond.
+test("a VM that is cut off from 60 others uses the restored store in time", async () => {
+  const world = await createWorld(60);
+  world.announceServer("s1", ServerPhase.Active);
+  await world.time.advance(SPREAD_MS);
+  const [hub] = world.listHubs();
+  assert.ok(hub);
+  for (const { name } of world.vms) {
+    if (name === hub.name) continue;
+    world.network.isolate(hub.name, name);
+    world.network.isolate(name, hub.name);
+  }
+  await restoreBesideRestart(world, world.createCopy(), [hub]);
+  await world.time.advance(2 * REWRITE_MS);
+  const restarted = world.vms.find(({ name }) => name === hub.name);
+  assert.ok(restarted);
+  assert.ok(restarted.freshness.isFresh());
+  assert.ok(isActive(restarted, "s1"));
+});
+
 // Guards against a VM that no other VM can help and that never serves again.
 test("a VM without others uses the restored store after the rewrite time", async () => {
   const world = await createWorld(1);
