Write ready responses before a planned stop closes a connection

Cause: close of Node's HTTP server destroys connections that it counts as idle, which includes those whose response has ended and is not written yet.

Change: the listener is closed with close of net.Server. Each connection closes itself once all of its responses are written. A caller that does not read keeps its connection until the process exits.

--- a/src/protocols/http/caller_connection.ts
+++ b/src/protocols/http/caller_connection.ts
@@ -46,6 +46,7 @@
   readonly #open = new Set<ReadRequest>();
   #newest: ReadRequest | undefined;
   #isInvalid = false;
+  #closesWhenIdle = false;
   #isPaused = false;
 
   /** Creates the connection; `isClosing` is set if the server is closing. */
@@ -59,8 +60,8 @@
     socket.on("resume", () => this.#pauseIfFull());
   }
 
-  /** Whether no request is waiting for its response. */
-  get isIdle(): boolean {
+  /** Whether all responses are written, up to the newest request. */
+  get #isIdle(): boolean {
     return this.#open.size === 0;
   }
 
@@ -102,9 +103,15 @@
     this.#order.startClosing();
   }
 
+  /** Closes the connection as soon as all of its responses are written. */
+  closeWhenIdle(): void {
+    this.#closesWhenIdle = true;
+    if (this.#isIdle) this.#socket.destroySoon();
+  }
+
   /** Records that input can't be parsed; no more input is read then. */
   recordInvalidInput(): InvalidInput {
-    if (this.isIdle) return InvalidInput.Refuse;
+    if (this.#isIdle) return InvalidInput.Refuse;
     if (this.#newest?.request.complete === false) {
       return this.#open.size === 1 && !this.#newest.response.headersSent
         ? InvalidInput.Refuse
@@ -119,8 +126,9 @@
   #removeRequest(read: ReadRequest): void {
     this.#open.delete(read);
     if (!read.response.writableFinished) read.disconnected.abort();
-    // The head of the last response was sent before the input was found invalid.
-    if (this.#isInvalid && this.isIdle) this.#socket.destroySoon();
+    // The head of the last response may have been sent without this decision.
+    const mustClose = this.#isInvalid || this.#closesWhenIdle;
+    if (mustClose && this.#isIdle) this.#socket.destroySoon();
   }
 
   #handleClose(): void {
--- a/src/protocols/http/caller_server.ts
+++ b/src/protocols/http/caller_server.ts
@@ -1,5 +1,6 @@
 /** Accepts callers over HTTP/1.1, with Node's server. */
 import http from "node:http";
+import net from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import {
   CALLER_HEADER_LIMIT_BYTES,
@@ -98,13 +99,14 @@
   close(): Promise<void> {
     this.closeAfterResponses();
     return new Promise((resolve) => {
-      this.#server.close(() => {
+      // The method of http.Server would also destroy connections whose response
+      // has ended and is not written yet.
+      net.Server.prototype.close.call(this.#server, () => {
         this.#accepted.close();
         resolve();
       });
-      // Node's own list of idle connections lacks those without any request.
-      for (const [socket, { isIdle }] of this.#connections) {
-        if (isIdle) socket.destroy();
+      for (const connection of this.#connections.values()) {
+        connection.closeWhenIdle();
       }
     });
   }
